--- /dev/null
+++ b/pathturn/adapter/settings.py
@@ -0,0 +1,74 @@
+"""Turns the wire's settings into the decision module's own few arguments; unknown ones are skipped."""
+
+from typing import Any
+
+from pathturn.core import interface as names
+from pathturn.core.choice import Gateway
+
+KINDS = {"retryable": names.REPEATABLE, "dedup": names.REFERENCED, "fragile": names.ONCE_ONLY}
+FIELDS = {"concurrent": "held", "load_share": "utilisation", "depth": "waiting", "x0": "memory", "x1": "disks"}
+
+
+def _places(values: list[str] | None) -> frozenset[str] | None:
+    return None if values is None else frozenset(values)
+
+
+def _per_group(domain: dict[str, Any], key: str, index: int, default: Any) -> Any:
+    values = domain.get(key) or []
+    return values[index] if index < len(values) else default
+
+
+def _group(entry: dict[str, Any], index: int, domain: dict[str, Any]) -> names.ServiceGroup:
+    return names.ServiceGroup(
+        goal_us=entry["promiseUs"],
+        goal_stretch=entry.get("aimStretch") or 0.0,
+        limit_us=entry["deadlineUs"],
+        utility=entry.get("worth", 1.0),
+        late_utility=entry.get("lateValue", 0.0),
+        kind=KINDS[entry["effect"]],
+        repeat_scope=entry.get("group") or "all",
+        repeat_span_us=entry.get("memorySpanUs") or 0,
+        in_order=bool(entry.get("inTurn")),
+        zones=_places(entry.get("staysIn")),
+        machines=_places(entry.get("servedOn")),
+        threads=_per_group(domain, "widthByClass", index, 1),
+        holds_set=_per_group(domain, "isLoad", index, False),
+        waits_for_set=_per_group(domain, "yieldsToLoads", index, False),
+    )
+
+
+def build(seed: int, config: dict[str, Any]) -> tuple[Gateway, dict[str, int]]:
+    """A gateway's decisions, and the index of each service group's name."""
+    domain, limits, rules = config.get("domain") or {}, config.get("limits") or {}, config.get("rules") or {}
+    report, goal = config.get("report") or {}, config.get("goal") or {}
+    entries, kinds = config.get("classes") or [], config.get("kinds") or []
+    budget = None
+    if rules.get("budgetSpanUs"):
+        budget = (rules.get("freeResends") or 0, rules.get("extraPerRequest") or 0.0, rules["budgetSpanUs"])
+    gateway = Gateway(
+        seed=seed,
+        instance=config.get("ordinal", 0),
+        gateways=config.get("siblings", 1),
+        zone=config.get("zone"),
+        groups=[_group(entry, index, domain) for index, entry in enumerate(entries)],
+        cores=dict(zip(kinds, domain.get("coresByKind") or [])),
+        memory_mb=dict(zip(kinds, domain.get("ramOfKindMb") or [])),
+        most_grant=domain.get("largestShare", 1.0),
+        grants=bool(domain.get("takesGrants")),
+        priorities=bool(domain.get("priorities")),
+        note_us=domain.get("progressUs") or 0,
+        tells_cost=bool(domain.get("costInAnswers")),
+        report_fields=[FIELDS.get(field, field) for field in report.get("fields") or []],
+        probes=report.get("how") == "probe" and bool(limits.get("probing")),
+        ask_list=config.get("discovery") == "ask",
+        max_dispatches=limits.get("maxAttempts") or 1,
+        may_cancel=bool(limits.get("cancel")),
+        retry_us=(limits.get("maxRetryAfterUs") or 0) if limits.get("retryAfter") else 0,
+        step_us=config.get("stepUs") or 1000,
+        cold=(rules.get("coldFrom", 1.0), rules.get("coldUs") or 0, rules.get("fallMultiple") or 0.0,
+              rules.get("fallUs") or 0),
+        key_rest_us=rules.get("keyQuietUs") or 0,
+        budget=budget,
+        worst_group=(goal.get("worstClass") or 0.0) / max(1e-9, sum(goal.values()) or 1.0),
+    )
+    return gateway, {entry["name"]: index for index, entry in enumerate(entries)}
--- /dev/null
+++ b/pathturn/core/interface.py
@@ -0,0 +1,71 @@
+"""The names that a front and the decision module share: outcomes, list states, groups and the writer."""
+
+from typing import NamedTuple, Protocol
+
+RETURNED = "returned"
+ERRORED = "errored"
+FULL = "full"
+TIMED_OUT = "timed_out"
+UNREACHABLE = "unreachable"
+RESET = "reset"
+CANCELLED = "cancelled"
+UNSENT = "unsent"
+NEVER_RAN = frozenset({FULL, UNREACHABLE, UNSENT})
+
+REPEATABLE = "repeatable"
+REFERENCED = "referenced"
+ONCE_ONLY = "once_only"
+
+READY, DRAINING, GONE = 0, 1, 2
+CHANGES, WHOLE, CACHED, FAILED = 0, 1, 2, 3
+PROGRESS, SPILLS, WAITS = 1, 2, 3
+
+
+class ServiceGroup(NamedTuple):
+    """What start-up settings say of one service group; times in whole microseconds."""
+
+    goal_us: int
+    goal_stretch: float
+    limit_us: int
+    utility: float
+    late_utility: float
+    kind: str
+    repeat_scope: str = "all"
+    repeat_span_us: int = 0
+    in_order: bool = False
+    zones: frozenset[str] | None = None
+    machines: frozenset[str] | None = None
+    threads: int = 1
+    holds_set: bool = False
+    waits_for_set: bool = False
+
+
+class Writer(Protocol):
+    """Takes decisions during a round, in the order in which they are to be carried out.
+
+    Batches and engines go by the small indices that the front gave them. A batch index may be handed out
+    again once the batch has its final answer and each of its dispatches has its outcome.
+    """
+
+    def dispatch(self, batch: int, engine: int, limit_us: int) -> None: ...
+    def terms(self, batch: int, priority: int, grant_mb: float) -> None: ...
+    def cancel(self, batch: int, dispatch: int) -> None: ...
+    def push_back(self, batch: int, retry_us: int) -> None: ...
+    def error(self, batch: int) -> None: ...
+    def probe(self, engine: int) -> None: ...
+    def wake(self, delay_us: int, tag: int) -> None: ...
+    def subscribe(self, on: bool) -> None: ...
+    def log(self, text: str) -> None: ...
+
+
+class Decider(Protocol):
+    """One gateway's decisions. Events are (name, *fields) in the order of arrival:
+
+    listing(form, entries): entries of (engine, zone, machine, cell, state, size, started_us)
+    batch(batch, group, customer, key, left_us, work_us, memory_mb, data_set, repeat); work 0 = no estimate
+    answer(batch, dispatch, engine, outcome, latency_us, complete, work_us, memory_mb, report)
+    note(batch, engine, sort, level, dispatch); probed(engine, well, latency_us, report)
+    withdrawn(batch); wake(tag)
+    """
+
+    def round(self, now_us: int, events: list[tuple], writer: Writer) -> None: ...
