--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -412,10 +412,8 @@
     def _watch(self, batch: Batch) -> None:
         """Looks at the batch again when its goal has slipped away, and before its time is up."""
         last = batch.deadline - 2 * TICK_US
-        hopeless = int(batch.goal - batch.solo())
-        if hopeless < last:
-            heapq.heappush(self.later, (max(self.now, hopeless) + 1, self._next(), batch))
-        heapq.heappush(self.later, (max(self.now, last) + 1, self._next(), batch))
+        for due in {min(last, int(batch.goal - batch.solo()) + 1), last}:
+            heapq.heappush(self.later, (due, self._next(), batch))
 
     def _review(self, batch: Batch) -> None:
         if batch.over:
@@ -426,7 +424,7 @@
         solo = batch.solo()
         late = self.now + solo > batch.goal
         if ((late and not group.late_utility) or self.now + solo > batch.deadline or not self._may_resend(batch)
-                or self.now > batch.deadline - 2 * TICK_US - 1):
+                or self.now >= batch.deadline - 2 * TICK_US):
             self._end(batch)
         elif batch.key is not None or late:
             self._hold(batch)
