--- a/pathturn/adapter/settings.py
+++ b/pathturn/adapter/settings.py
@@ -40,7 +40,7 @@
 def build(seed: int, config: dict[str, Any]) -> tuple[Gateway, dict[str, int]]:
     """A gateway's decisions, and the index of each service group's name."""
     domain, limits, rules = config.get("domain") or {}, config.get("limits") or {}, config.get("rules") or {}
-    report, goal = config.get("report") or {}, config.get("goal") or {}
+    report = config.get("report") or {}
     entries, kinds = config.get("classes") or [], config.get("kinds") or []
     budget = None
     if rules.get("budgetSpanUs"):
@@ -49,15 +49,12 @@
         seed=seed,
         instance=config.get("ordinal", 0),
         gateways=config.get("siblings", 1),
-        zone=config.get("zone"),
         groups=[_group(entry, index, domain) for index, entry in enumerate(entries)],
         cores=dict(zip(kinds, domain.get("coresByKind") or [])),
         memory_mb=dict(zip(kinds, domain.get("ramOfKindMb") or [])),
-        most_grant=domain.get("largestShare", 1.0),
         grants=bool(domain.get("takesGrants")),
         priorities=bool(domain.get("priorities")),
         note_us=domain.get("progressUs") or 0,
-        tells_cost=bool(domain.get("costInAnswers")),
         report_fields=[FIELDS.get(field, field) for field in report.get("fields") or []],
         probes=report.get("how") == "probe" and bool(limits.get("probing")),
         ask_list=config.get("discovery") == "ask",
@@ -69,6 +66,5 @@
               rules.get("fallUs") or 0),
         key_rest_us=rules.get("keyQuietUs") or 0,
         budget=budget,
-        worst_group=(goal.get("worstClass") or 0.0) / max(1e-9, sum(goal.values()) or 1.0),
     )
     return gateway, {entry["name"]: index for index, entry in enumerate(entries)}
--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -1,6 +1,6 @@
 """All decisions of one gateway. Build a Gateway from its settings, then call round(now_us, events, writer)
-once a round with all that came in; decisions go straight into the writer. The events, the writer's protocol
-and the shared names are in pathturn/core/interface.py. Times are whole microseconds, work is one thread's time.
+once a round with all that came in; decisions go straight into the writer. Events, the writer's protocol and
+shared names: pathturn/core/interface.py. Times are whole microseconds, work is one thread's time.
 """
 
 import heapq
@@ -46,43 +46,77 @@
 class Learned:
     """What one service group's answers have taught: estimates' bias, usual work, pace and latency."""
 
-    def __init__(self, group: names.ServiceGroup, index: int) -> None:
-        self.group, self.index = group, index
-        self.usual = float(group.goal_us) * group.threads / 2
+    def __init__(self, group: names.ServiceGroup) -> None:
+        self.group, self.usual = group, float(group.goal_us) * group.threads / 2
         self.bias = self.memory_bias = 1.0
-        self.pace, self.latency, self.seen, self.estimated = 1.5, 0.0, 0, 0
-        self.longest_left = 0
+        self.pace, self.latency, self.seen, self.estimated, self.longest_left = 1.5, 0.0, 0, 0, 0
 
     def estimate(self, work_us: int) -> None:
-        self.estimated += 1
-        self.usual += (work_us * self.bias - self.usual) / min(self.estimated, 200)
+        if work_us:
+            self.estimated += 1
+            self.usual += (work_us * self.bias - self.usual) / min(self.estimated, 200)
 
-    def returned(self, batch: "Batch", latency: int, work_us: int, memory_mb: float) -> None:
+    def returned(self, batch: "Batch", latency: int, work_us: int, memory_mb: float) -> float:
+        """Takes a sample, and tells by how much the batch ran longer than it would have alone."""
         self.seen += 1
-        rate = max(0.03, 1 / (self.seen + 4))
+        rate, threads = max(0.03, 1 / (self.seen + 4)), self.group.threads
         self.latency += (latency - self.latency) / min(self.seen, 100)
         if batch.hint and work_us:
             self.bias += rate * (min(4.0, max(0.2, work_us / batch.hint)) - self.bias)
         elif batch.hint:
             # Without a told cost the quicker third of latencies stands for work that met no crowd.
-            quick = latency * self.group.threads / batch.hint < self.bias
-            self.bias *= exp(rate * (-0.7 if quick else 0.3))
+            self.bias *= exp(rate * (-0.7 if latency * threads / batch.hint < self.bias else 0.3))
         if memory_mb and batch.memory_hint:
             self.memory_bias += rate * (min(4.0, max(0.2, memory_mb / batch.memory_hint)) - self.memory_bias)
-        stretch = latency * self.group.threads / max(1.0, work_us or batch.work)
-        self.pace += 0.05 * (min(10.0, max(1.0, stretch)) - self.pace)
+        stretch = min(10.0, latency * threads / max(1.0, work_us or batch.work))
+        self.pace += 0.05 * (max(1.0, stretch) - self.pace)
+        return stretch
 
 
 class Batch:
-    __slots__ = ("index", "learned", "group", "key", "taken", "deadline", "goal", "hint", "memory_hint", "work",
-                 "memory", "data_set", "sends", "out", "held", "over", "ran_since", "ran_at", "tried", "kills")
+    def __init__(self, index: int, learned: Learned, now: int, left_us: int, work_us: int, memory_mb: float) -> None:
+        self.index, self.learned, self.group, self.deadline = index, learned, learned.group, now + left_us
+        self.hint, self.memory_hint, self.memory = work_us, memory_mb, memory_mb * learned.memory_bias
+        self.work = max(1_000.0, work_us * learned.bias or learned.usual)
+        self.solo = self.work / self.group.threads
+        # A try cut shorter than the longest yet comes late in its client's wait: its goal began with the first.
+        learned.longest_left = max(learned.longest_left, left_us)
+        spent = self.group.limit_us - left_us if left_us < 0.99 * learned.longest_left else 0
+        self.goal = now - spent + self.group.goal_us + int(self.group.goal_stretch * self.solo)
+        self.sends, self.kills, self.tried, self.over = 0, 0, set(), False
+        self.out: dict[int, Dispatch] = {}
+        self.ran_since: int | None = None
+        self.ran_at: Engine | None = None
+        self.key: str | None = None
+        self.data_set: int | None = None
+
+    def may_resend(self, now: int) -> bool:
+        if self.ran_since is None or self.group.kind == names.REPEATABLE:
+            return True
+        return self.group.kind == names.REFERENCED and now - self.ran_since < 0.95 * self.group.repeat_span_us
+
+    def harmless(self) -> bool:
+        """Whether a pushback would tell the truth: trying again cannot have a second effect."""
+        if self.group.kind == names.REPEATABLE or (self.ran_since is None and not self.out):
+            return True
+        return self.group.kind == names.REFERENCED and self.group.repeat_scope == "all"
 
-    def solo(self) -> float:
-        return self.work / self.group.threads
+    def allowed(self, engine: "Engine") -> bool:
+        """Placement, and for a referenced batch that may have run the engines that drop its repeat."""
+        group, first = self.group, self.ran_at
+        if group.zones is not None and engine.zone not in group.zones:
+            return False
+        if group.machines is not None and engine.machine not in group.machines:
+            return False
+        if first is None or group.kind == names.REPEATABLE or group.repeat_scope == "all":
+            return True
+        return engine.zone == first.zone if group.repeat_scope == "zone" else engine.cell == first.cell
 
 
 class Dispatch:
-    __slots__ = ("batch", "number", "engine", "sent", "load", "threads", "memory")
+    def __init__(self, batch: Batch, engine: "Engine", now: int) -> None:
+        self.batch, self.engine, self.number, self.sent = batch, engine, batch.sends, now
+        self.load, self.threads, self.memory = engine.load, batch.group.threads, batch.memory
 
 
 class Engine:
@@ -90,31 +124,91 @@
         self.index, self.window, self.credit, self.share = index, window, credit, 0.0
         self.state, self.cold_until = names.GONE, 0
         self.load, self.load_at, self.reported = 0.0, 0, False
-        self.line = Ring(30 * PERIOD_US, 6, 5)
-        self.answers = Ring(10 * PERIOD_US, 5, 2)
+        self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(10 * PERIOD_US, 5, 2)
         self.out: dict[tuple[int, int], Dispatch] = {}
         self.threads, self.memory = 0, 0.0
         self.stretch, self.cut_at, self.pressed = 1.0, now, False
         self.heard, self.shut_until, self.trial, self.strikes = now, 0, 0, 0
         self.warm: OrderedDict[int, None] = OrderedDict()
-
-    def listed(self, zone: str, machine: str, cell: int, cores: float, memory_mb: float) -> None:
-        self.zone, self.machine, self.cell, self.cores, self.memory_mb = zone, machine, cell, cores, memory_mb
+        self.held_sets: dict[int, int] = {}
 
     def hear_load(self, now: int, load: float) -> None:
         """The design's moving average; the first report stands as it is."""
-        weight = 1.0 if not self.reported else 1 - exp(-(now - self.load_at) / SMOOTH_US)
+        weight = 1 - exp(-(now - self.load_at) / SMOOTH_US) if self.reported else 1.0
         self.load += weight * (load - self.load)
         self.load_at, self.reported = now, True
 
+    def cut(self, now: int) -> None:
+        if now - self.cut_at >= PERIOD_US:
+            self.cut_at, self.window = now, max(NARROWEST, 0.85 * self.window)
+
+    def enter(self, dispatch: Dispatch, sign: int) -> None:
+        self.threads += sign * dispatch.threads
+        self.memory = max(0.0, self.memory + sign * dispatch.memory)
+
+
+class Budget:
+    """Further dispatches: the newest buckets undercount what was taken, all of them overcount what was spent."""
+
+    def __init__(self, free: float, share: float, span_us: int) -> None:
+        self.free, self.share = free, share
+        self.taken, self.spent = Ring(span_us, 20), Ring(span_us, 20)
+
+    def allows(self, now: int) -> bool:
+        return self.spent.sums(now)[0] + 1 <= self.free + self.share * self.taken.sums(now, within=True)[0]
+
+
+class ColdGuard:
+    """All gateways together must stay under the fall line, so each keeps to its part of the least capacity that
+    a cold engine may have. A gateway cannot know what it sent before its own start: it waits a window out."""
+
+    def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, now: int) -> None:
+        self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
+        self.fall_us, self.from_us = fall_us, now + fall_us
+        self.sent: dict[int, Ring] = {}
+
+    def suspect(self, engine: Engine, started: int) -> None:
+        engine.cold_until = max(engine.cold_until, started + self.cold_us)
+
+    def allows(self, now: int, engine: Engine, work: float) -> bool:
+        if now >= engine.cold_until or not self.part:
+            return True
+        spent = self.sent.setdefault(engine.index, Ring(self.fall_us, 10)).sums(now)[0]
+        return now >= self.from_us and spent + work <= self.part * engine.cores
+
+
+class KeyLines:
+    """Batches of one key, in the order taken; a key rests after a dispatch that may still be running."""
+
+    def __init__(self, rest_us: int) -> None:
+        self.rest_us = rest_us
+        self.lines: dict[str, deque[Batch]] = {}
+        self.resting: dict[str, int] = {}
+
+    def open_at(self, batch: Batch) -> int | None:
+        """When the key lets it go first; None while earlier ones stand before it."""
+        if batch.key is None or batch.sends:
+            return 0
+        return self.resting.get(batch.key, 0) if self.lines[batch.key][0] is batch else None
+
+    def leave(self, batch: Batch) -> Batch | None:
+        """Takes it out of line, and tells which one now stands first in its place."""
+        line = self.lines[batch.key]
+        first = line[0] is batch
+        line.remove(batch)
+        if not line:
+            del self.lines[batch.key]
+        return line[0] if first and line else None
+
 
 def fit(sums: list[float], pooled: tuple[float, float, float] | None) -> tuple[float, float, float]:
     """Intercept, slope and mean load; few samples lean on the pooled line, and load never helps latency."""
     n, x, y, xx, xy = sums
     if pooled:
         level, rise, middle = pooled
-        n, x, y = n + 5, x + 5 * middle, y + 5 * (level + rise * middle)
-        xx, xy = xx + 5 * (middle * middle + 0.05), xy + 5 * ((level + rise * middle) * middle + rise * 0.05)
+        there = level + rise * middle
+        n, x, y = n + 5, x + 5 * middle, y + 5 * there
+        xx, xy = xx + 5 * (middle * middle + 0.05), xy + 5 * (there * middle + rise * 0.05)
     if n < 1:
         return 1.0, 0.0, 0.0
     spread = xx - x * x / n
@@ -122,16 +216,16 @@
     return (y - slope * x) / n, slope, x / n
 
 
-def solve(cores: list[float], loads: list[float], lines: list[tuple], shares: list[float], part: float) -> list[float]:
+def solve(cores: list[float], loads: list[float], lines: list[tuple], shares: list[float], part: float) -> list:
     """Targets from the even start toward what reported loads suggest, until predicted mean response rises."""
     even = [core / sum(cores) for core in cores]
     floor = 0.05 + 0.25 * sum(loads) / len(loads)
-    room = [core / (floor + max(0.0, load)) for core, load in zip(cores, loads)]
+    room = [core / (floor + load) for core, load in zip(cores, loads)]
     suggested = [each / sum(room) for each in room]
 
     def response(target: list[float]) -> float:
-        moved = (load * (1 + part * (aim / max(share, 1e-3) - 1)) for load, aim, share in zip(loads, target, shares))
-        return sum(aim * (line[0] + line[1] * max(0.0, load)) for aim, line, load in zip(target, lines, moved))
+        at = [load * (1 + part * (to / max(share, 1e-3) - 1)) for load, to, share in zip(loads, target, shares)]
+        return sum(to * (line[0] + line[1] * max(0.0, load)) for to, line, load in zip(target, lines, at))
 
     target, best = even, response(even)
     for _ in range(round(1 / SLICE)):
@@ -144,41 +238,38 @@
 
 
 class Gateway:
-    def __init__(self, *, seed, instance, gateways, zone, groups, cores, memory_mb, most_grant, grants, priorities,
-                 note_us, tells_cost, report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us,
-                 cold, key_rest_us, budget, worst_group) -> None:
+    def __init__(self, *, seed, instance, gateways, groups, cores, memory_mb, grants, priorities, note_us,
+                 report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us, cold, key_rest_us,
+                 budget) -> None:
         if not groups:
             raise ValueError("settings name no service group")
         self.seed, self.instance, self.counter = seed, instance, 0
-        self.gateways, self.zone, self.worst_group = max(1, gateways), zone, worst_group
-        self.learned = [Learned(group, index) for index, group in enumerate(groups)]
-        self.cores, self.memory_mb, self.most_grant = cores, memory_mb, most_grant
-        self.grants, self.priorities, self.tells_cost, self.note_us = grants, priorities, tells_cost, note_us
+        self.learned = [Learned(group) for group in groups]
+        self.cores, self.memory_mb, self.gateways = cores, memory_mb, max(1, gateways)
+        self.grants, self.priorities, self.note_us = grants, priorities, note_us
         self.fields = {field: place for place, field in enumerate(report_fields)}
         self.probes, self.ask_list, self.step_us = probes, ask_list, step_us
         self.max_dispatches, self.may_cancel, self.retry_us = max_dispatches, may_cancel, retry_us
-        self.cold_from, self.cold_us, self.fall_multiple, self.fall_us = cold
-        self.key_rest_us, self.budget = key_rest_us, budget
-        if budget:
-            self.taken_ring, self.extra_ring = Ring(budget[2], 20), Ring(budget[2], 20)
+        self.budget, self.cold_settings = Budget(*budget) if budget else None, cold
+        self.keys = KeyLines(key_rest_us)
         self.engines: dict[int, Engine] = {}
         self.batches: dict[int, Batch] = {}
         self.ready: list[tuple] = []
         self.later: list[tuple] = []
-        self.keys: dict[str, deque[Batch]] = {}
-        self.rest: dict[str, int] = {}
-        self.holds: dict[tuple[int, int], int] = {}
-        self.cold_sent: dict[int, Ring] = {}
-        self.mean_work, self.started, self.solved_at, self.ticking = 1.0, None, 0, False
+        self.cold: ColdGuard | None = None
+        self.mean_work, self.solved_at, self.ticking = 1.0, 0, False
 
     def chance(self, identity: int) -> float:
+        return crc32(f"{self.seed}:{self.instance}:{identity}:{self.count()}".encode()) / 2**32
+
+    def count(self) -> int:
         self.counter += 1
-        return crc32(f"{self.seed}:{self.instance}:{identity}:{self.counter}".encode()) / 2**32
+        return self.counter
 
     def round(self, now_us: int, events: list[tuple], writer: names.Writer) -> None:
         self.now, self.out = now_us, writer
-        if self.started is None:
-            self.started = now_us
+        if self.cold is None:
+            self.cold = ColdGuard(*self.cold_settings, self.gateways, now_us)
             if self.ask_list:
                 writer.subscribe(True)
         for name, *fields in events:
@@ -204,48 +295,40 @@
             self.out.subscribe(True)
             return
         if form != names.CHANGES:
-            named = {entry[0] for entry in entries}
-            for engine in self.engines.values():
-                if engine.index not in named:
-                    engine.state = names.GONE
+            for index in self.engines.keys() - {entry[0] for entry in entries}:
+                self.engines[index].state = names.GONE
         for index, zone, machine, cell, state, size, started in entries:
-            engine = self.engines.get(index)
-            if engine is None:
-                engine = self.engines[index] = Engine(index, 1.2 / self.gateways, self.chance(index), self.now)
-            engine.listed(zone, machine, cell, self.cores.get(machine) or size or 1, self.memory_mb.get(machine) or 0)
-            engine.state = state
+            if index not in self.engines:
+                self.engines[index] = Engine(index, 1.2 / self.gateways, self.chance(index), self.now)
+            engine = self.engines[index]
+            engine.zone, engine.machine, engine.cell, engine.state = zone, machine, cell, state
+            engine.cores, engine.memory_mb = self.cores.get(machine) or size or 1, self.memory_mb.get(machine) or 0
             if started:
-                engine.cold_until = max(engine.cold_until, started + self.cold_us)
+                self.cold.suspect(engine, started)
         self._solve()
 
     def batch(self, index, group, customer, key, left_us, work_us, memory_mb, data_set, repeat) -> None:
         learned = self.learned[group]
-        if work_us:
-            learned.estimate(work_us)
-        batch = self.batches[index] = Batch()
-        batch.index, batch.learned, batch.group, batch.taken = index, learned, learned.group, self.now
-        batch.hint, batch.memory_hint, batch.data_set = work_us, memory_mb, data_set
-        batch.work = max(1_000.0, work_us * learned.bias or learned.usual)
-        batch.memory = memory_mb * learned.memory_bias
-        batch.deadline = self.now + left_us
-        learned.longest_left = max(learned.longest_left, left_us)
-        # A try cut shorter than the longest yet comes late in its client's wait: its goal began with the first.
-        spent = batch.group.limit_us - left_us if left_us < 0.99 * learned.longest_left else 0
-        batch.goal = self.now - spent + batch.group.goal_us + int(batch.group.goal_stretch * batch.solo())
-        batch.sends, batch.kills, batch.out, batch.tried = 0, 0, {}, set()
-        batch.held, batch.over, batch.ran_since, batch.ran_at = False, False, None, None
-        batch.key = key if batch.group.in_order else None
+        learned.estimate(work_us)
+        batch = self.batches[index] = Batch(index, learned, self.now, left_us, work_us, memory_mb)
+        batch.data_set = data_set
         if self.budget:
-            self.taken_ring.add(self.now, 1)
-        if batch.key is not None:
-            self.keys.setdefault(batch.key, deque()).append(batch)
+            self.budget.taken.add(self.now, 1)
+        if batch.group.in_order and key is not None:
+            batch.key = key
+            self.keys.lines.setdefault(key, deque()).append(batch)
+        last = batch.deadline - 2 * TICK_US
+        for due in sorted({min(last, int(batch.goal - batch.solo) + 1), last}):
+            heapq.heappush(self.later, (due, self.count(), batch))
         self._hold(batch)
-        self._watch(batch)
 
     def answer(self, index, number, engine, outcome, latency_us, complete, work_us, memory_mb, report) -> None:
         batch, engine = self.batches[index], self.engines[engine]
         dispatch = batch.out.pop(number)
-        self._leave(engine, dispatch)
+        del engine.out[index, number]
+        engine.enter(dispatch, -1)
+        if batch.group.holds_set:
+            engine.held_sets.pop(batch.data_set, None)
         if report:
             self._report(engine, report)
         if outcome == names.RETURNED:
@@ -255,29 +338,29 @@
         if outcome not in names.NEVER_RAN and batch.ran_since is None:
             batch.ran_since, batch.ran_at = dispatch.sent, engine
         if outcome in (names.TIMED_OUT, names.RESET, names.CANCELLED) and batch.key is not None:
-            self.rest[batch.key] = self.now + self.key_rest_us
-        if complete:
-            batch.over = True
-        elif not batch.over:
-            self._hold(batch)
+            self.keys.resting[batch.key] = self.now + self.keys.rest_us
+        batch.over = batch.over or complete
+        if batch.over:
+            self._forget(batch)
+        else:
             self._review(batch)
-        self._forget(batch)
 
     def note(self, index, engine, sort, level, number) -> None:
-        engine = self.engines[engine]
-        engine.heard = self.now
+        self.engines[engine].heard = self.now
         batch = self.batches[index]
         dispatch = batch.out.get(number)
-        if dispatch is None or batch.over or sort != names.PROGRESS:
+        if dispatch is None or batch.over:
+            return
+        if sort == names.WAITS and level == 2:
+            held = dispatch.engine.held_sets
+            held[batch.data_set] = max(held.get(batch.data_set, 0), self.now + 2 * PERIOD_US)
+        if sort != names.PROGRESS or not self.may_cancel or batch.kills or batch.sends >= self.max_dispatches:
             return
         # Against bad plans; also catches a dispatch stuck behind others' work. Does harm where an estimate is
         # far too low: the same work starts over, so it is done only once a batch.
-        expected = batch.solo() * batch.learned.pace
-        spent = self.now - dispatch.sent
+        expected, spent = batch.solo * batch.learned.pace, self.now - dispatch.sent
         whole = spent / max(0.02, level)
-        if (self.may_cancel and batch.group.kind == names.REPEATABLE and batch.kills < 1
-                and batch.sends < self.max_dispatches and whole > BAD_PLAN * expected
-                and whole - spent > 1.5 * expected):
+        if batch.group.kind == names.REPEATABLE and whole > max(BAD_PLAN * expected, spent + 1.5 * expected):
             batch.kills += 1
             self.out.cancel(batch.index, number)
 
@@ -286,11 +369,8 @@
             self._report(self.engines[engine], report)
 
     def withdrawn(self, index) -> None:
-        batch = self.batches.get(index)
-        if batch is not None:
-            batch.over = True
-            self._cancel(batch)
-            self._forget(batch)
+        if index in self.batches:
+            self._close(self.batches[index])
 
     # Learning.
     def _report(self, engine: Engine, report: list[float]) -> None:
@@ -302,77 +382,67 @@
         elif "disks" in told or "memory" in told:
             engine.hear_load(self.now, max(told.get("disks", 0), told.get("memory", 0)))
         if told.get("waiting", 0) > 0.5:
-            self._cut(engine)
+            engine.cut(self.now)
 
     def _returned(self, engine: Engine, dispatch: Dispatch, latency: int, work_us: int, memory_mb: float) -> None:
-        batch, learned = dispatch.batch, dispatch.batch.learned
+        batch, learned, load = dispatch.batch, dispatch.batch.learned, dispatch.load
         engine.heard = self.now
         engine.answers.add(self.now, 0, 1)
         engine.trial = max(0, engine.trial - 1)
-        learned.returned(batch, latency, work_us, memory_mb)
-        engine.line.add(self.now, 1, dispatch.load, latency / learned.latency, dispatch.load ** 2,
-                        dispatch.load * latency / learned.latency)
-        stretch = min(10.0, latency * batch.group.threads / max(1.0, work_us or batch.work))
+        stretch = learned.returned(batch, latency, work_us, memory_mb)
+        scaled = latency / learned.latency
+        engine.line.add(self.now, 1, load, scaled, load * load, load * scaled)
         engine.stretch += 0.15 * (stretch - engine.stretch)
         if engine.stretch > CROWDED:
-            self._cut(engine)
+            engine.cut(self.now)
         elif engine.pressed:
-            engine.window = min(WIDEST, engine.window + 0.02)
-            engine.pressed = False
-
-    def _cut(self, engine: Engine) -> None:
-        if self.now - engine.cut_at >= PERIOD_US:
-            engine.cut_at = self.now
-            engine.window = max(NARROWEST, 0.85 * engine.window)
+            engine.window, engine.pressed = min(WIDEST, engine.window + 0.02), False
 
     # Health.
     def _blame(self, engine: Engine, outcome: str) -> None:
         """By symptom: quick errors, lost connections. None of these is a latency sample, so none looks cheap."""
         if outcome == names.FULL:
-            self._cut(engine)
+            engine.cut(self.now)
         elif outcome == names.ERRORED:
             engine.answers.add(self.now, 1, 1)
-            bad, all_ = engine.answers.sums(self.now)
-            if engine.trial or (bad >= 2 and bad > 0.2 * all_):
+            bad, heard = engine.answers.sums(self.now)
+            if engine.trial or (bad >= 2 and bad > 0.2 * heard):
                 self._shut(engine)
         elif outcome in (names.UNREACHABLE, names.RESET):
             # Its process may have gone and come back before the list says so: take it for cold.
-            engine.cold_until = max(engine.cold_until, self.now + self.cold_us)
+            self.cold.suspect(engine, self.now)
             self._shut(engine)
 
     def _shut(self, engine: Engine) -> None:
-        if engine.shut_until > self.now:
-            return
         live = [each for each in self.engines.values() if each.state == names.READY]
-        if sum(each.shut_until > self.now for each in live) * 2 >= len(live):
+        if engine.shut_until > self.now or sum(each.shut_until > self.now for each in live) * 2 >= len(live):
             return  # when most look bad, the fault is more likely in this gateway's own view
         engine.strikes = min(4, engine.strikes + 1) if engine.trial else 1
-        engine.shut_until = self.now + int(PERIOD_US * 2 ** (engine.strikes - 1) * (1 + 0.3 * self.chance(engine.index)))
-        engine.trial = 3
+        pause = PERIOD_US * 2 ** (engine.strikes - 1) * (1 + 0.3 * self.chance(engine.index))
+        engine.shut_until, engine.trial = self.now + int(pause), 3
 
     def _silent(self, engine: Engine) -> None:
         """Takes batches, answers none: seen when neither answers nor notes come while dispatches are out."""
         if not engine.out:
             return
         oldest = next(iter(engine.out.values()))
-        patience = int(1.6 * self.note_us) + 300_000 if self.note_us else int(4 * oldest.batch.solo()) + 2 * PERIOD_US
+        patience = 1.6 * self.note_us + 300_000 if self.note_us else 4 * oldest.batch.solo + 2 * PERIOD_US
         if self.now - max(engine.heard, oldest.sent) < patience:
             return
         self._shut(engine)
         if engine.shut_until > self.now and self.may_cancel:
-            for dispatch in list(engine.out.values()):
+            for dispatch in engine.out.values():
                 if dispatch.batch.group.kind != names.ONCE_ONLY and not dispatch.batch.over:
                     self.out.cancel(dispatch.batch.index, dispatch.number)
 
     # The ordinary path.
     def _period(self) -> None:
         for engine in self.engines.values():
-            if engine.state == names.GONE:
-                continue
-            if not self.fields:
-                engine.hear_load(self.now, len(engine.out) / engine.cores)
-            if self.probes:
-                self.out.probe(engine.index)
+            if engine.state == names.READY:
+                if not self.fields:
+                    engine.hear_load(self.now, len(engine.out) / engine.cores)
+                if self.probes:
+                    self.out.probe(engine.index)
         self._solve()
 
     def _solve(self) -> None:
@@ -383,128 +453,78 @@
         pooled = fit([sum(column) for column in zip(*sums)], None)
         heard = [engine.load for engine in live if engine.reported]
         middle = sum(heard) / len(heard) if heard else 0.0
-        loads = [engine.load if engine.reported else middle for engine in live]
-        shares = [engine.share or 1 / len(live) for engine in live]
-        cores = [engine.cores for engine in live]
-        for engine, share in zip(live, solve(cores, loads, [fit(each, pooled) for each in sums], shares, 1 / self.gateways)):
+        shares = solve([engine.cores for engine in live],
+                       [max(0.0, engine.load) if engine.reported else middle for engine in live],
+                       [fit(each, pooled) for each in sums],
+                       [engine.share or 1 / len(live) for engine in live], 1 / self.gateways)
+        for engine, share in zip(live, shares):
             engine.share = share
 
-    # Holding and choosing.
-    def _worth(self, batch: Batch) -> float:
-        group = batch.group
-        late = self.now + batch.solo() > batch.goal
-        return (group.late_utility if late else 1.0) * group.utility / batch.work
-
+    # Holding and giving up.
     def _hold(self, batch: Batch) -> None:
-        batch.held = True
-        rest = self.rest.get(batch.key, 0) if batch.key is not None else 0
-        if batch.key is not None and self.keys[batch.key][0] is not batch:
+        opens = self.keys.open_at(batch)
+        if opens is None:
             return
-        if rest > self.now and not batch.sends:
-            heapq.heappush(self.later, (rest, self._next(), batch))
+        if opens > self.now:
+            heapq.heappush(self.later, (opens, self.count(), batch))
             return
-        heapq.heappush(self.ready, (-self._worth(batch), self._next(), batch))
-
-    def _next(self) -> int:
-        self.counter += 1
-        return self.counter
-
-    def _watch(self, batch: Batch) -> None:
-        """Looks at the batch again when its goal has slipped away, and before its time is up."""
-        last = batch.deadline - 2 * TICK_US
-        for due in {min(last, int(batch.goal - batch.solo()) + 1), last}:
-            heapq.heappush(self.later, (due, self._next(), batch))
+        late = self.now + batch.solo > batch.goal
+        worth = (batch.group.late_utility if late else 1.0) * batch.group.utility / batch.work
+        heapq.heappush(self.ready, (-worth, self.count(), batch))
+
+    def _hopeless(self, batch: Batch) -> bool:
+        """No use left in waiting: nothing to earn, no time, or no further dispatch allowed. Behind a busy key a
+        late batch only makes the next ones late."""
+        late = self.now + batch.solo > batch.goal
+        crowded = batch.key is not None and len(self.keys.lines[batch.key]) > 1
+        return ((late and (not batch.group.late_utility or crowded)) or self.now + batch.solo > batch.deadline
+                or self.now >= batch.deadline - 2 * TICK_US
+                or batch.sends >= self.max_dispatches or not batch.may_resend(self.now))
 
     def _review(self, batch: Batch) -> None:
-        if batch.over:
-            return
-        group = batch.group
-        if batch.out:
+        if batch.over or batch.out:
             return
-        solo = batch.solo()
-        late = self.now + solo > batch.goal
-        if ((late and not group.late_utility) or self.now + solo > batch.deadline or not self._may_resend(batch)
-                or self.now >= batch.deadline - 2 * TICK_US):
-            self._end(batch)
-        elif batch.key is not None or late:
+        if self._hopeless(batch):
+            self._give_up(batch)
+        else:
             self._hold(batch)
 
-    def _end(self, batch: Batch) -> None:
-        group = batch.group
-        unrun = batch.ran_since is None and not batch.out
-        harmless = unrun or group.kind == names.REPEATABLE or (
-            group.kind == names.REFERENCED and group.repeat_scope == "all")
-        batch.over = True
-        if harmless:
+    def _give_up(self, batch: Batch) -> None:
+        if batch.harmless():
             self.out.push_back(batch.index, int(self.retry_us * (0.5 + 0.5 * self.chance(batch.index))))
         else:
             self.out.error(batch.index)
-        self._cancel(batch)
-        self._forget(batch)
+        self._close(batch)
 
-    def _cancel(self, batch: Batch) -> None:
+    def _close(self, batch: Batch) -> None:
+        batch.over = True
         if self.may_cancel:
             for number in batch.out:
                 self.out.cancel(batch.index, number)
+        self._forget(batch)
 
     def _forget(self, batch: Batch) -> None:
-        if not batch.over or batch.out:
+        if batch.out or self.batches.pop(batch.index, None) is None or batch.key is None:
             return
-        self.batches.pop(batch.index, None)
-        line = self.keys.get(batch.key) if batch.key is not None else None
-        if line and batch in line:
-            first = line[0] is batch
-            line.remove(batch)
-            if not line:
-                del self.keys[batch.key]
-            elif first:
-                self._hold(line[0])
-
-    def _may_resend(self, batch: Batch) -> bool:
-        if batch.sends >= self.max_dispatches:
-            return False
-        if batch.ran_since is None or batch.group.kind == names.REPEATABLE:
-            return True
-        return batch.group.kind == names.REFERENCED and self.now - batch.ran_since < 0.95 * batch.group.repeat_span_us
+        following = self.keys.leave(batch)
+        if following is not None:
+            self._review(following)
 
+    # Choosing.
     def _gate(self, batch: Batch, engine: Engine) -> bool:
         """The one way out: rules 2 to 7 and the limits on copies and dispatches."""
-        group = batch.group
-        if engine.state != names.READY or batch.over or batch.out or not self._may_resend(batch):
-            return False
-        if group.zones is not None and engine.zone not in group.zones:
-            return False
-        if group.machines is not None and engine.machine not in group.machines:
-            return False
-        if batch.ran_since is not None and group.kind == names.REFERENCED:
-            scope = {"zone": engine.zone == batch.ran_at.zone, "cell": engine.cell == batch.ran_at.cell}
-            if not scope.get(group.repeat_scope, group.repeat_scope == "all"):
-                return False
-        if batch.key is not None and (self.keys[batch.key][0] is not batch or (
-                not batch.sends and self.now < self.rest.get(batch.key, 0))):
-            return False
-        if batch.sends and self.budget:
-            free, share, _ = self.budget
-            taken, extra = self.taken_ring.sums(self.now, True)[0], self.extra_ring.sums(self.now)[0]
-            if extra + 1 > free + share * taken:
-                return False
-        return self.now >= engine.cold_until or self._cold_allows(batch, engine)
-
-    def _cold_allows(self, batch: Batch, engine: Engine) -> bool:
-        """All gateways together must stay under the fall line, so each keeps to its part of the least capacity
-        that a cold engine may have. What it did before its own start it cannot know: it waits a window out."""
-        if not self.fall_us or not self.fall_multiple:
-            return True
-        if self.now - self.started < self.fall_us and self.started:
-            return False
-        part = 0.6 * self.fall_multiple * self.cold_from * REFERENCE_LOAD * engine.cores * self.fall_us / self.gateways
-        ring = self.cold_sent.setdefault(engine.index, Ring(self.fall_us, 10))
-        return ring.sums(self.now)[0] + max(batch.learned.usual, batch.work) <= part
+        opens = self.keys.open_at(batch)
+        return (engine.state == names.READY and not batch.over and not batch.out
+                and batch.sends < self.max_dispatches and batch.may_resend(self.now) and batch.allowed(engine)
+                and opens is not None and opens <= self.now
+                and (not batch.sends or self.budget is None or self.budget.allows(self.now))
+                and self.cold.allows(self.now, engine, max(batch.learned.usual, batch.work)))
 
     def _room(self, batch: Batch, engine: Engine) -> bool:
-        if engine.shut_until > self.now or (engine.trial and engine.out):
+        if engine.shut_until > self.now or (engine.trial and (engine.out or batch.group.kind != names.REPEATABLE)):
             return False
-        if engine.trial and batch.group.kind != names.REPEATABLE:
+        if (batch.group.holds_set or batch.group.waits_for_set) and (
+                engine.held_sets.get(batch.data_set, 0) > self.now):
             return False
         if not engine.out:
             return True
@@ -516,17 +536,12 @@
         return False
 
     def _choose(self, batch: Batch) -> Engine | None:
-        best, most = None, None
+        best, most = None, 0.0
         for engine in self.engines.values():
-            if not self._room(batch, engine) or not self._gate(batch, engine):
-                continue
-            if (batch.group.holds_set or batch.group.waits_for_set) and self.holds.get((engine.index, batch.data_set)):
-                continue
-            score = engine.credit - (1e9 if engine.index in batch.tried else 0)
-            if batch.data_set in engine.warm:
-                score += 0.5
-            if best is None or score > most:
-                best, most = engine, score
+            if engine.state == names.READY and self._room(batch, engine) and self._gate(batch, engine):
+                score = engine.credit + 0.5 * (batch.data_set in engine.warm) - 100 * (engine.index in batch.tried)
+                if best is None or score > most:
+                    best, most = engine, score
         return best
 
     def _pump(self) -> None:
@@ -534,7 +549,10 @@
         while self.ready and len(passed) < SKIPS:
             entry = heapq.heappop(self.ready)
             batch = entry[2]
-            if batch.over or batch.out or not batch.held:
+            if batch.over or batch.out:
+                continue
+            if self._hopeless(batch):
+                self._give_up(batch)
                 continue
             engine = self._choose(batch)
             if engine is None:
@@ -545,31 +563,23 @@
             heapq.heappush(self.ready, entry)
 
     def _send(self, batch: Batch, engine: Engine) -> None:
-        dispatch = batch.out[batch.sends] = Dispatch()
-        dispatch.batch, dispatch.number, dispatch.engine, dispatch.sent = batch, batch.sends, engine, self.now
-        dispatch.load, dispatch.threads, dispatch.memory = engine.load, batch.group.threads, batch.memory
+        dispatch = batch.out[batch.sends] = engine.out[batch.index, batch.sends] = Dispatch(batch, engine, self.now)
+        engine.enter(dispatch, 1)
         if batch.sends and self.budget:
-            self.extra_ring.add(self.now, 1)
-        if self.now < engine.cold_until and self.fall_us:
-            self.cold_sent.setdefault(engine.index, Ring(self.fall_us, 10)).add(
-                self.now, max(batch.learned.usual, batch.work))
-        engine.out[batch.index, batch.sends] = dispatch
-        engine.threads += dispatch.threads
-        engine.memory += dispatch.memory
-        batch.held = False
+            self.budget.spent.add(self.now, 1)
+        if engine.index in self.cold.sent:
+            self.cold.sent[engine.index].add(self.now, max(batch.learned.usual, batch.work))
         batch.sends += 1
         batch.tried.add(engine.index)
         if batch.group.holds_set:
-            place = engine.index, batch.data_set
-            self.holds[place] = self.holds.get(place, 0) + 1
+            engine.held_sets[batch.data_set] = batch.deadline
         engine.warm[batch.data_set] = None
         engine.warm.move_to_end(batch.data_set)
         if len(engine.warm) > 4:
             engine.warm.popitem(last=False)
         self._debit(engine, batch.work)
         if self.priorities or self.grants:
-            grant = batch.memory * 1.15 if self.grants and self.tells_cost else 0
-            self.out.terms(batch.index, self._priority(batch), round(grant))
+            self.out.terms(batch.index, self._priority(batch), round(1.15 * batch.memory) if self.grants else 0)
         self.out.dispatch(batch.index, engine.index, max(1, batch.deadline - self.now - self.step_us))
 
     def _debit(self, chosen: Engine, work: float) -> None:
@@ -583,18 +593,7 @@
 
     def _priority(self, batch: Batch) -> int:
         if batch.group.holds_set:
-            return 2
+            return 3
         dearest = max(each.group.utility / each.usual for each in self.learned)
         value = batch.group.utility / batch.work / dearest
         return 3 if value > 0.5 else 2 if value > 0.2 else 1 if value > 0.05 else 0
-
-    def _leave(self, engine: Engine, dispatch: Dispatch) -> None:
-        batch = dispatch.batch
-        engine.out.pop((batch.index, dispatch.number), None)
-        engine.threads -= dispatch.threads
-        engine.memory = max(0.0, engine.memory - dispatch.memory)
-        if batch.group.holds_set:
-            place = engine.index, batch.data_set
-            self.holds[place] -= 1
-            if not self.holds[place]:
-                del self.holds[place]
