--- a/pathturn/adapter/codec.py
+++ b/pathturn/adapter/codec.py
@@ -118,8 +118,9 @@
             return
         self.out[batch] -= 1
         told = (note or 0) if self.tells_cost and rc == "ok" else 0
-        self.events.append(("answer", batch, trial, self.engine(node), OUTCOMES.get(rc, names.ERRORED), latency or 0,
-                            bool(complete), (told >> 12) * 1000, (told & 4095) * 4, load))
+        outcome = OUTCOMES.get(rc, names.ERRORED)
+        self.events.append(("answer", batch, trial, self.engine(node), outcome, latency or 0, bool(complete),
+                            (told >> 12) * 1000, (told & 4095) * 4, load))
         if complete:
             self.end(batch)
         self.settle(batch)
--- a/pathturn/adapter/settings.py
+++ b/pathturn/adapter/settings.py
@@ -6,7 +6,8 @@
 from pathturn.core.choice import Gateway
 
 KINDS = {"retryable": names.REPEATABLE, "dedup": names.REFERENCED, "fragile": names.ONCE_ONLY}
-FIELDS = {"concurrent": "held", "load_share": "utilisation", "depth": "waiting", "x0": "memory", "x1": "disks"}
+FIELDS = {"concurrent": "held", "load_share": "utilisation", "depth": "waiting", "x0": "memory",
+          "x1": "disks"}
 
 
 def _places(values: list[str] | None) -> frozenset[str] | None:
--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -4,7 +4,8 @@
 """
 
 import heapq
-from collections import OrderedDict, deque
+from collections import deque
+from itertools import count
 from math import exp
 from zlib import crc32
 
@@ -18,6 +19,7 @@
 WIDEST, NARROWEST = 1.6, 0.15
 BAD_PLAN = 3.5  # times the expected run: estimates scatter by less, bad plans by more
 REFERENCE_LOAD = 0.85  # the rules' capacity is the rate at which this share of the cores is busy
+LOADS = ("held", "utilisation", "disks", "memory")
 SKIPS = 24  # held batches looked past in a round: bounds the work when the first ones have nowhere to go
 
 
@@ -74,21 +76,18 @@
 
 
 class Batch:
-    def __init__(self, index: int, learned: Learned, now: int, left_us: int, work_us: int, memory_mb: float) -> None:
+    def __init__(self, index: int, learned: Learned, now: int, left_us: int, work_us: int, memory_mb: float):
         self.index, self.learned, self.group, self.deadline = index, learned, learned.group, now + left_us
         self.hint, self.memory_hint, self.memory = work_us, memory_mb, memory_mb * learned.memory_bias
         self.work = max(1_000.0, work_us * learned.bias or learned.usual)
         self.solo = self.work / self.group.threads
-        # A try cut shorter than the longest yet comes late in its client's wait: its goal began with the first.
+        # A try cut shorter than the longest yet comes late in its client's wait: the goal ran from the first.
         learned.longest_left = max(learned.longest_left, left_us)
         spent = self.group.limit_us - left_us if left_us < 0.99 * learned.longest_left else 0
         self.goal = now - spent + self.group.goal_us + int(self.group.goal_stretch * self.solo)
         self.sends, self.kills, self.tried, self.over = 0, 0, set(), False
         self.out: dict[int, Dispatch] = {}
-        self.ran_since: int | None = None
-        self.ran_at: Engine | None = None
-        self.key: str | None = None
-        self.data_set: int | None = None
+        self.ran_since, self.ran_at, self.key, self.data_set = None, None, None, None
 
     def may_resend(self, now: int) -> bool:
         if self.ran_since is None or self.group.kind == names.REPEATABLE:
@@ -104,9 +103,8 @@
     def allowed(self, engine: "Engine") -> bool:
         """Placement, and for a referenced batch that may have run the engines that drop its repeat."""
         group, first = self.group, self.ran_at
-        if group.zones is not None and engine.zone not in group.zones:
-            return False
-        if group.machines is not None and engine.machine not in group.machines:
+        if ((group.zones is not None and engine.zone not in group.zones)
+                or (group.machines is not None and engine.machine not in group.machines)):
             return False
         if first is None or group.kind == names.REPEATABLE or group.repeat_scope == "all":
             return True
@@ -115,21 +113,18 @@
 
 class Dispatch:
     def __init__(self, batch: Batch, engine: "Engine", now: int) -> None:
-        self.batch, self.engine, self.number, self.sent = batch, engine, batch.sends, now
-        self.load, self.threads, self.memory = engine.load, batch.group.threads, batch.memory
+        self.batch, self.number, self.sent, self.load = batch, batch.sends, now, engine.load
 
 
 class Engine:
     def __init__(self, index: int, window: float, credit: float, now: int) -> None:
         self.index, self.window, self.credit, self.share = index, window, credit, 0.0
-        self.state, self.cold_until = names.GONE, 0
-        self.load, self.load_at, self.reported = 0.0, 0, False
+        self.state, self.cold_until, self.load, self.load_at, self.reported = names.GONE, 0, 0.0, 0, False
         self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(10 * PERIOD_US, 5, 2)
         self.out: dict[tuple[int, int], Dispatch] = {}
-        self.threads, self.memory = 0, 0.0
-        self.stretch, self.cut_at, self.pressed = 1.0, now, False
+        self.threads, self.memory, self.stretch, self.cut_at, self.pressed = 0, 0.0, 1.0, now, False
         self.heard, self.shut_until, self.trial, self.strikes = now, 0, 0, 0
-        self.warm: OrderedDict[int, None] = OrderedDict()
+        self.warm: deque[int | None] = deque(maxlen=8)
         self.held_sets: dict[int, int] = {}
 
     def hear_load(self, now: int, load: float) -> None:
@@ -142,13 +137,13 @@
         if now - self.cut_at >= PERIOD_US:
             self.cut_at, self.window = now, max(NARROWEST, 0.85 * self.window)
 
-    def enter(self, dispatch: Dispatch, sign: int) -> None:
-        self.threads += sign * dispatch.threads
-        self.memory = max(0.0, self.memory + sign * dispatch.memory)
+    def enter(self, batch: Batch, sign: int) -> None:
+        self.threads += sign * batch.group.threads
+        self.memory = max(0.0, self.memory + sign * batch.memory)
 
 
 class Budget:
-    """Further dispatches: the newest buckets undercount what was taken, all of them overcount what was spent."""
+    """Further dispatches: spent is counted too high, taken too low, by the oldest bucket each."""
 
     def __init__(self, free: float, share: float, span_us: int) -> None:
         self.free, self.share = free, share
@@ -159,17 +154,14 @@
 
 
 class ColdGuard:
-    """All gateways together must stay under the fall line, so each keeps to its part of the least capacity that
-    a cold engine may have. A gateway cannot know what it sent before its own start: it waits a window out."""
+    """All gateways together must stay under the fall line, so each keeps to its part of the least capacity
+    that a cold engine may have. What it sent before its own start it cannot know: it waits a window out."""
 
-    def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, now: int) -> None:
+    def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, now: int):
         self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
         self.fall_us, self.from_us = fall_us, now + fall_us
         self.sent: dict[int, Ring] = {}
 
-    def suspect(self, engine: Engine, started: int) -> None:
-        engine.cold_until = max(engine.cold_until, started + self.cold_us)
-
     def allows(self, now: int, engine: Engine, work: float) -> bool:
         if now >= engine.cold_until or not self.part:
             return True
@@ -192,31 +184,25 @@
         return self.resting.get(batch.key, 0) if self.lines[batch.key][0] is batch else None
 
     def leave(self, batch: Batch) -> Batch | None:
-        """Takes it out of line, and tells which one now stands first in its place."""
         line = self.lines[batch.key]
-        first = line[0] is batch
         line.remove(batch)
         if not line:
             del self.lines[batch.key]
-        return line[0] if first and line else None
+        return line[0] if line else None
 
 
-def fit(sums: list[float], pooled: tuple[float, float, float] | None) -> tuple[float, float, float]:
-    """Intercept, slope and mean load; few samples lean on the pooled line, and load never helps latency."""
-    n, x, y, xx, xy = sums
-    if pooled:
-        level, rise, middle = pooled
-        there = level + rise * middle
-        n, x, y = n + 5, x + 5 * middle, y + 5 * there
-        xx, xy = xx + 5 * (middle * middle + 0.05), xy + 5 * (there * middle + rise * 0.05)
+def fit(own: list[float], pooled: list[float]) -> tuple[float, float]:
+    """Intercept and slope; few samples lean on the pooled ones, and load never helps latency."""
+    lean = 5 / max(5.0, pooled[0])
+    n, x, y, xx, xy = (each + lean * every for each, every in zip(own, pooled))
     if n < 1:
-        return 1.0, 0.0, 0.0
+        return 1.0, 0.0
     spread = xx - x * x / n
     slope = max(0.0, (xy - x * y / n) / spread) if spread > 1e-9 else 0.0
-    return (y - slope * x) / n, slope, x / n
+    return (y - slope * x) / n, slope
 
 
-def solve(cores: list[float], loads: list[float], lines: list[tuple], shares: list[float], part: float) -> list:
+def solve(cores: list[float], loads: list[float], lines: list[tuple], shares: list[float], part: float):
     """Targets from the even start toward what reported loads suggest, until predicted mean response rises."""
     even = [core / sum(cores) for core in cores]
     floor = 0.05 + 0.25 * sum(loads) / len(loads)
@@ -224,14 +210,13 @@
     suggested = [each / sum(room) for each in room]
 
     def response(target: list[float]) -> float:
-        at = [load * (1 + part * (to / max(share, 1e-3) - 1)) for load, to, share in zip(loads, target, shares)]
+        at = (load * (1 + part * (to / share - 1)) for load, to, share in zip(loads, target, shares))
         return sum(to * (line[0] + line[1] * max(0.0, load)) for to, line, load in zip(target, lines, at))
 
     target, best = even, response(even)
     for _ in range(round(1 / SLICE)):
         step = [have + SLICE * (to - start) for have, to, start in zip(target, suggested, even)]
-        predicted = response(step)
-        if predicted >= best:
+        if (predicted := response(step)) >= best:
             break
         target, best = step, predicted
     return target
@@ -239,60 +224,57 @@
 
 class Gateway:
     def __init__(self, *, seed, instance, gateways, groups, cores, memory_mb, grants, priorities, note_us,
-                 report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us, cold, key_rest_us,
-                 budget) -> None:
+                 report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us, cold,
+                 key_rest_us, budget) -> None:
         if not groups:
             raise ValueError("settings name no service group")
-        self.seed, self.instance, self.counter = seed, instance, 0
+        self.seed, self.instance, self.counter = seed, instance, count()
         self.learned = [Learned(group) for group in groups]
         self.cores, self.memory_mb, self.gateways = cores, memory_mb, max(1, gateways)
         self.grants, self.priorities, self.note_us = grants, priorities, note_us
-        self.fields = {field: place for place, field in enumerate(report_fields)}
-        self.probes, self.ask_list, self.step_us = probes, ask_list, step_us
+        # Of utilisations, cores before disks before memory: the design's order, carried on where it ends.
+        self.load_field = next((field for field in LOADS if field in report_fields), None)
+        self.fields, self.probes, self.step_us = report_fields, probes, step_us
+        self.ask_at = 0 if ask_list else None
         self.max_dispatches, self.may_cancel, self.retry_us = max_dispatches, may_cancel, retry_us
         self.budget, self.cold_settings = Budget(*budget) if budget else None, cold
-        self.keys = KeyLines(key_rest_us)
+        self.keys, self.cold = KeyLines(key_rest_us), None
         self.engines: dict[int, Engine] = {}
         self.batches: dict[int, Batch] = {}
-        self.ready: list[tuple] = []
-        self.later: list[tuple] = []
-        self.cold: ColdGuard | None = None
-        self.mean_work, self.solved_at, self.ticking = 1.0, 0, False
+        self.ready, self.later, self.mean_work, self.solved_at = [], [], 1.0, 0
 
-    def chance(self, identity: int) -> float:
-        return crc32(f"{self.seed}:{self.instance}:{identity}:{self.count()}".encode()) / 2**32
+    def _live(self) -> list[Engine]:
+        return [engine for engine in self.engines.values() if engine.state == names.READY]
 
-    def count(self) -> int:
-        self.counter += 1
-        return self.counter
+    def chance(self, identity: int) -> float:
+        return crc32(f"{self.seed}:{self.instance}:{identity}:{next(self.counter)}".encode()) / 2**32
 
     def round(self, now_us: int, events: list[tuple], writer: names.Writer) -> None:
         self.now, self.out = now_us, writer
         if self.cold is None:
             self.cold = ColdGuard(*self.cold_settings, self.gateways, now_us)
-            if self.ask_list:
-                writer.subscribe(True)
+            self.wake(0)
         for name, *fields in events:
             getattr(self, name)(*fields)
         if now_us - self.solved_at >= PERIOD_US:
             self.solved_at = now_us
-            self._period()
-        for engine in self.engines.values():
+            self._solve()
+        if self.ask_at is not None and now_us >= self.ask_at:
+            self.ask_at = None
+            writer.subscribe(True)
+        for engine in [each for each in self.engines.values() if each.out]:
             self._silent(engine)
         while self.later and self.later[0][0] <= now_us:
             self._review(heapq.heappop(self.later)[2])
         self._pump()
-        if not self.ticking:
-            self.ticking = True
-            writer.wake(TICK_US, 0)
 
     # What comes in.
     def wake(self, tag: int) -> None:
-        self.ticking = False
+        self.out.wake(TICK_US, tag)
 
     def listing(self, form: int, entries: list[tuple]) -> None:
         if form == names.FAILED:
-            self.out.subscribe(True)
+            self.ask_at = self.now + int(PERIOD_US * (1 + self.chance(form)))
             return
         if form != names.CHANGES:
             for index in self.engines.keys() - {entry[0] for entry in entries}:
@@ -302,10 +284,11 @@
                 self.engines[index] = Engine(index, 1.2 / self.gateways, self.chance(index), self.now)
             engine = self.engines[index]
             engine.zone, engine.machine, engine.cell, engine.state = zone, machine, cell, state
-            engine.cores, engine.memory_mb = self.cores.get(machine) or size or 1, self.memory_mb.get(machine) or 0
+            engine.cores = self.cores.get(machine) or size or 1
+            engine.memory_mb = self.memory_mb.get(machine) or 0
             if started:
-                self.cold.suspect(engine, started)
-        self._solve()
+                engine.cold_until = max(engine.cold_until, started + self.cold.cold_us)
+        self.solved_at = 0
 
     def batch(self, index, group, customer, key, left_us, work_us, memory_mb, data_set, repeat) -> None:
         learned = self.learned[group]
@@ -318,21 +301,20 @@
             batch.key = key
             self.keys.lines.setdefault(key, deque()).append(batch)
         last = batch.deadline - 2 * TICK_US
-        for due in sorted({min(last, int(batch.goal - batch.solo) + 1), last}):
-            heapq.heappush(self.later, (due, self.count(), batch))
+        for due in (min(last, int(batch.goal - batch.solo) + 1), last):
+            heapq.heappush(self.later, (due, next(self.counter), batch))
         self._hold(batch)
 
-    def answer(self, index, number, engine, outcome, latency_us, complete, work_us, memory_mb, report) -> None:
+    def answer(self, index, number, engine, outcome, latency, complete, work_us, memory_mb, report) -> None:
         batch, engine = self.batches[index], self.engines[engine]
         dispatch = batch.out.pop(number)
         del engine.out[index, number]
-        engine.enter(dispatch, -1)
+        engine.enter(batch, -1)
         if batch.group.holds_set:
             engine.held_sets.pop(batch.data_set, None)
-        if report:
-            self._report(engine, report)
+        self._report(engine, report)
         if outcome == names.RETURNED:
-            self._returned(engine, dispatch, latency_us, work_us, memory_mb)
+            self._returned(engine, dispatch, latency, work_us, memory_mb)
         else:
             self._blame(engine, outcome)
         if outcome not in names.NEVER_RAN and batch.ran_since is None:
@@ -348,24 +330,23 @@
     def note(self, index, engine, sort, level, number) -> None:
         self.engines[engine].heard = self.now
         batch = self.batches[index]
-        dispatch = batch.out.get(number)
-        if dispatch is None or batch.over:
+        if batch.over or number not in batch.out:
             return
         if sort == names.WAITS and level == 2:
-            held = dispatch.engine.held_sets
+            held = self.engines[engine].held_sets
             held[batch.data_set] = max(held.get(batch.data_set, 0), self.now + 2 * PERIOD_US)
         if sort != names.PROGRESS or not self.may_cancel or batch.kills or batch.sends >= self.max_dispatches:
             return
         # Against bad plans; also catches a dispatch stuck behind others' work. Does harm where an estimate is
         # far too low: the same work starts over, so it is done only once a batch.
-        expected, spent = batch.solo * batch.learned.pace, self.now - dispatch.sent
+        expected, spent = batch.solo * batch.learned.pace, self.now - batch.out[number].sent
         whole = spent / max(0.02, level)
         if batch.group.kind == names.REPEATABLE and whole > max(BAD_PLAN * expected, spent + 1.5 * expected):
             batch.kills += 1
             self.out.cancel(batch.index, number)
 
     def probed(self, engine, well, latency_us, report) -> None:
-        if well and report:
+        if well:
             self._report(self.engines[engine], report)
 
     def withdrawn(self, index) -> None:
@@ -373,18 +354,15 @@
             self._close(self.batches[index])
 
     # Learning.
-    def _report(self, engine: Engine, report: list[float]) -> None:
-        told = {field: report[place] for field, place in self.fields.items() if place < len(report)}
-        if "held" in told:
-            engine.hear_load(self.now, told["held"] / engine.cores)
-        elif "utilisation" in told:
-            engine.hear_load(self.now, told["utilisation"])
-        elif "disks" in told or "memory" in told:
-            engine.hear_load(self.now, max(told.get("disks", 0), told.get("memory", 0)))
+    def _report(self, engine: Engine, report: list[float] | None) -> None:
+        told = dict(zip(self.fields, report or ()))
+        if self.load_field in told:
+            per = engine.cores if self.load_field == "held" else 1
+            engine.hear_load(self.now, told[self.load_field] / per)
         if told.get("waiting", 0) > 0.5:
             engine.cut(self.now)
 
-    def _returned(self, engine: Engine, dispatch: Dispatch, latency: int, work_us: int, memory_mb: float) -> None:
+    def _returned(self, engine: Engine, dispatch: Dispatch, latency: int, work_us: int, memory_mb: float):
         batch, learned, load = dispatch.batch, dispatch.batch.learned, dispatch.load
         engine.heard = self.now
         engine.answers.add(self.now, 0, 1)
@@ -400,7 +378,7 @@
 
     # Health.
     def _blame(self, engine: Engine, outcome: str) -> None:
-        """By symptom: quick errors, lost connections. None of these is a latency sample, so none looks cheap."""
+        """By symptom: quick errors, lost connections. None is a latency sample, so none looks cheap."""
         if outcome == names.FULL:
             engine.cut(self.now)
         elif outcome == names.ERRORED:
@@ -410,11 +388,11 @@
                 self._shut(engine)
         elif outcome in (names.UNREACHABLE, names.RESET):
             # Its process may have gone and come back before the list says so: take it for cold.
-            self.cold.suspect(engine, self.now)
+            engine.cold_until = self.now + self.cold.cold_us
             self._shut(engine)
 
     def _shut(self, engine: Engine) -> None:
-        live = [each for each in self.engines.values() if each.state == names.READY]
+        live = self._live()
         if engine.shut_until > self.now or sum(each.shut_until > self.now for each in live) * 2 >= len(live):
             return  # when most look bad, the fault is more likely in this gateway's own view
         engine.strikes = min(4, engine.strikes + 1) if engine.trial else 1
@@ -423,8 +401,6 @@
 
     def _silent(self, engine: Engine) -> None:
         """Takes batches, answers none: seen when neither answers nor notes come while dispatches are out."""
-        if not engine.out:
-            return
         oldest = next(iter(engine.out.values()))
         patience = 1.6 * self.note_us + 300_000 if self.note_us else 4 * oldest.batch.solo + 2 * PERIOD_US
         if self.now - max(engine.heard, oldest.sent) < patience:
@@ -436,21 +412,17 @@
                     self.out.cancel(dispatch.batch.index, dispatch.number)
 
     # The ordinary path.
-    def _period(self) -> None:
-        for engine in self.engines.values():
-            if engine.state == names.READY:
-                if not self.fields:
-                    engine.hear_load(self.now, len(engine.out) / engine.cores)
-                if self.probes:
-                    self.out.probe(engine.index)
-        self._solve()
-
     def _solve(self) -> None:
-        live = [engine for engine in self.engines.values() if engine.state == names.READY]
+        live = self._live()
         if not live:
             return
+        for engine in live:
+            if self.load_field is None:
+                engine.hear_load(self.now, len(engine.out) / engine.cores)
+            if self.probes:
+                self.out.probe(engine.index)
         sums = [engine.line.sums(self.now) for engine in live]
-        pooled = fit([sum(column) for column in zip(*sums)], None)
+        pooled = [sum(column) for column in zip(*sums)]
         heard = [engine.load for engine in live if engine.reported]
         middle = sum(heard) / len(heard) if heard else 0.0
         shares = solve([engine.cores for engine in live],
@@ -466,15 +438,15 @@
         if opens is None:
             return
         if opens > self.now:
-            heapq.heappush(self.later, (opens, self.count(), batch))
+            heapq.heappush(self.later, (opens, next(self.counter), batch))
             return
         late = self.now + batch.solo > batch.goal
         worth = (batch.group.late_utility if late else 1.0) * batch.group.utility / batch.work
-        heapq.heappush(self.ready, (-worth, self.count(), batch))
+        heapq.heappush(self.ready, (-worth, next(self.counter), batch))
 
     def _hopeless(self, batch: Batch) -> bool:
-        """No use left in waiting: nothing to earn, no time, or no further dispatch allowed. Behind a busy key a
-        late batch only makes the next ones late."""
+        """No use left in waiting: nothing to earn, no time, or no further dispatch allowed. Before others of
+        its key a late batch only makes the next ones late."""
         late = self.now + batch.solo > batch.goal
         crowded = batch.key is not None and len(self.keys.lines[batch.key]) > 1
         return ((late and (not batch.group.late_utility or crowded)) or self.now + batch.solo > batch.deadline
@@ -521,28 +493,23 @@
                 and self.cold.allows(self.now, engine, max(batch.learned.usual, batch.work)))
 
     def _room(self, batch: Batch, engine: Engine) -> bool:
-        if engine.shut_until > self.now or (engine.trial and (engine.out or batch.group.kind != names.REPEATABLE)):
+        group = batch.group
+        if engine.shut_until > self.now or (engine.trial and (engine.out or group.kind != names.REPEATABLE)):
             return False
-        if (batch.group.holds_set or batch.group.waits_for_set) and (
-                engine.held_sets.get(batch.data_set, 0) > self.now):
+        if (group.holds_set or group.waits_for_set) and engine.held_sets.get(batch.data_set, 0) > self.now:
             return False
-        if not engine.out:
-            return True
-        threads = (engine.threads + batch.group.threads) / (engine.cores * THREADS_PER_CORE)
+        threads = (engine.threads + group.threads) / (engine.cores * THREADS_PER_CORE)
         memory = (engine.memory + batch.memory) / engine.memory_mb if engine.memory_mb else 0.0
-        if max(threads, memory) <= engine.window:
-            return True
-        engine.pressed = True
-        return False
+        fits = not engine.out or max(threads, memory) <= engine.window
+        engine.pressed = engine.pressed or not fits
+        return fits
 
     def _choose(self, batch: Batch) -> Engine | None:
-        best, most = None, 0.0
-        for engine in self.engines.values():
-            if engine.state == names.READY and self._room(batch, engine) and self._gate(batch, engine):
-                score = engine.credit + 0.5 * (batch.data_set in engine.warm) - 100 * (engine.index in batch.tried)
-                if best is None or score > most:
-                    best, most = engine, score
-        return best
+        def standing(engine: Engine) -> float:
+            return engine.credit + 0.5 * (batch.data_set in engine.warm) - 100 * (engine.index in batch.tried)
+
+        fits = (each for each in self.engines.values() if self._room(batch, each) and self._gate(batch, each))
+        return max(fits, key=standing, default=None)
 
     def _pump(self) -> None:
         passed = []
@@ -553,18 +520,17 @@
                 continue
             if self._hopeless(batch):
                 self._give_up(batch)
-                continue
-            engine = self._choose(batch)
-            if engine is None:
-                passed.append(entry)
-            else:
+            elif engine := self._choose(batch):
                 self._send(batch, engine)
+            else:
+                passed.append(entry)
         for entry in passed:
             heapq.heappush(self.ready, entry)
 
     def _send(self, batch: Batch, engine: Engine) -> None:
-        dispatch = batch.out[batch.sends] = engine.out[batch.index, batch.sends] = Dispatch(batch, engine, self.now)
-        engine.enter(dispatch, 1)
+        dispatch = Dispatch(batch, engine, self.now)
+        batch.out[batch.sends] = engine.out[batch.index, batch.sends] = dispatch
+        engine.enter(batch, 1)
         if batch.sends and self.budget:
             self.budget.spent.add(self.now, 1)
         if engine.index in self.cold.sent:
@@ -573,22 +539,19 @@
         batch.tried.add(engine.index)
         if batch.group.holds_set:
             engine.held_sets[batch.data_set] = batch.deadline
-        engine.warm[batch.data_set] = None
-        engine.warm.move_to_end(batch.data_set)
-        if len(engine.warm) > 4:
-            engine.warm.popitem(last=False)
+        engine.warm.append(batch.data_set)
         self._debit(engine, batch.work)
         if self.priorities or self.grants:
-            self.out.terms(batch.index, self._priority(batch), round(1.15 * batch.memory) if self.grants else 0)
+            grant = round(1.15 * batch.memory) if self.grants else 0
+            self.out.terms(batch.index, self._priority(batch), grant)
         self.out.dispatch(batch.index, engine.index, max(1, batch.deadline - self.now - self.step_us))
 
     def _debit(self, chosen: Engine, work: float) -> None:
         """Weighted round robin in units of usual work: follows the solved rates with little variance."""
         self.mean_work += 0.02 * (work - self.mean_work)
         size = min(10.0, work / self.mean_work)
-        for engine in self.engines.values():
-            if engine.state == names.READY:
-                engine.credit = min(5.0, engine.credit + engine.share * size)
+        for engine in self._live():
+            engine.credit = min(5.0, engine.credit + engine.share * size)
         chosen.credit = max(-10.0, chosen.credit - size)
 
     def _priority(self, batch: Batch) -> int:
