A lone reset counts as an error, not as a dead process

Also catches connections cut by something on the way. Harm: a crash is noticed from two resets or one refused connection, not from the first reset.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -381,12 +381,12 @@
         """By symptom: quick errors, lost connections. None is a latency sample, so none looks cheap."""
         if outcome == names.FULL:
             engine.cut(self.now)
-        elif outcome == names.ERRORED:
+        elif outcome in (names.ERRORED, names.RESET):
             engine.answers.add(self.now, 1, 1)
             bad, heard = engine.answers.sums(self.now)
             if engine.trial or (bad >= 2 and bad > 0.2 * heard):
                 self._shut(engine)
-        elif outcome in (names.UNREACHABLE, names.RESET):
+        elif outcome == names.UNREACHABLE:
             # Its process may have gone and come back before the list says so: take it for cold.
             engine.cold_until = self.now + self.cold.cold_us
             self._shut(engine)
