--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -15,7 +15,7 @@
 SLICE = 0.1  # of the way from the even start to what reports suggest, a step of the solver
 TICK_US = 25_000
 THREADS_PER_CORE = 1.3  # more than one, since threads wait for disks; engines thrash soon beyond
-CROWDED = 2.2  # latency over work: above it an engine's cores, disks or memory are overcommitted
+CROWDED = 1.9  # latency over work: above it an engine's cores, disks or memory are overcommitted
 WIDEST, NARROWEST = 1.6, 0.15
 BAD_PLAN = 3.5  # times the expected run: estimates scatter by less, bad plans by more
 REFERENCE_LOAD = 0.85  # the rules' capacity is the rate at which this share of the cores is busy
@@ -374,7 +374,7 @@
         if engine.stretch > CROWDED:
             engine.cut(self.now)
         elif engine.pressed:
-            engine.window, engine.pressed = min(WIDEST, engine.window + 0.02), False
+            engine.window, engine.pressed = min(WIDEST, engine.window + 0.1 * (1 - engine.stretch / CROWDED)), False
 
     # Health.
     def _blame(self, engine: Engine, outcome: str) -> None:
