--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -66,13 +66,13 @@
         if batch.hint and work_us:
             self.bias += rate * (min(4.0, max(0.2, work_us / batch.hint)) - self.bias)
         elif batch.hint:
-            # Without a told cost the quicker third of latencies stands for work that met no crowd.
-            self.bias *= exp(rate * (-0.7 if latency * threads / batch.hint < self.bias else 0.3))
+            # Without a told cost the median latency stands for the work: means follow bad plans and crowds.
+            self.bias *= exp(rate * (-0.5 if latency * threads / batch.hint < self.bias else 0.5))
         if memory_mb and batch.memory_hint:
             self.memory_bias += rate * (min(4.0, max(0.2, memory_mb / batch.memory_hint)) - self.memory_bias)
         stretch = min(10.0, latency * threads / max(1.0, work_us or batch.work))
         self.pace += 0.05 * (max(1.0, stretch) - self.pace)
-        return stretch
+        return stretch if work_us else 0.75 * stretch
 
 
 class Batch:
