--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -120,7 +120,7 @@
     def __init__(self, index: int, window: float, credit: float, now: int) -> None:
         self.index, self.window, self.credit, self.share = index, window, credit, 0.0
         self.state, self.cold_until, self.load, self.load_at, self.reported = names.GONE, 0, 0.0, 0, False
-        self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(10 * PERIOD_US, 5, 2)
+        self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(3 * PERIOD_US, 6, 2)
         self.out: dict[tuple[int, int], Dispatch] = {}
         self.threads, self.memory, self.stretch, self.cut_at, self.pressed = 0, 0.0, 1.0, now, False
         self.heard, self.shut_until, self.trial, self.strikes = now, 0, 0, 0
@@ -381,7 +381,7 @@
         """By symptom: quick errors, lost connections. None is a latency sample, so none looks cheap."""
         if outcome == names.FULL:
             engine.cut(self.now)
-        elif outcome in (names.ERRORED, names.RESET):
+        if outcome in (names.ERRORED, names.RESET, names.FULL):
             engine.answers.add(self.now, 1, 1)
             bad, heard = engine.answers.sums(self.now)
             if engine.trial or (bad >= 2 and bad > 0.2 * heard):
