--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -370,7 +370,7 @@
         stretch = learned.returned(batch, latency, work_us, memory_mb)
         scaled = latency / learned.latency
         engine.line.add(self.now, 1, load, scaled, load * load, load * scaled)
-        engine.stretch += min(0.5, 0.15 * batch.work / self.mean_work) * (stretch - engine.stretch)
+        engine.stretch += 0.15 * (stretch - engine.stretch)
         if engine.stretch > CROWDED:
             engine.cut(self.now)
         elif engine.pressed:
