Grants learned from the share of dispatches that spill

Estimates of memory are biased by group, and told nowhere at appt. The grant now settles where 15% of dispatches spill, or 2% where engines page and surplus costs nothing. Also catches estimates that drift; harm: a burst of spills for another cause over-grants for some dozens of batches.

--- a/pathturn/adapter/settings.py
+++ b/pathturn/adapter/settings.py
@@ -54,6 +54,7 @@
         cores=dict(zip(kinds, domain.get("coresByKind") or [])),
         memory_mb=dict(zip(kinds, domain.get("ramOfKindMb") or [])),
         grants=bool(domain.get("takesGrants")),
+        pages=domain.get("onShortage") == "page",
         priorities=bool(domain.get("priorities")),
         note_us=domain.get("progressUs") or 0,
         report_fields=[FIELDS.get(field, field) for field in report.get("fields") or []],
--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -48,9 +48,11 @@
 class Learned:
     """What one service group's answers have taught: estimates' bias, usual work, pace and latency."""
 
-    def __init__(self, group: names.ServiceGroup) -> None:
+    def __init__(self, group: names.ServiceGroup, pages: bool) -> None:
         self.group, self.usual = group, float(group.goal_us) * group.threads / 2
-        self.bias = self.memory_bias = 1.0
+        self.bias, self.memory_bias, self.grant = 1.0, 1.0, 2.0
+        # Where engines page, a grant beyond the need takes nothing from others; elsewhere it does.
+        self.pages, self.spills = pages, 0.02 if pages else 0.15
         self.pace, self.latency, self.seen, self.estimated, self.longest_left = 1.5, 0.0, 0, 0, 0
 
     def estimate(self, work_us: int) -> None:
@@ -70,6 +72,8 @@
             self.bias *= exp(rate * (-0.5 if latency * threads / batch.hint < self.bias else 0.5))
         if memory_mb and batch.memory_hint:
             self.memory_bias += rate * (min(4.0, max(0.2, memory_mb / batch.memory_hint)) - self.memory_bias)
+        # The grant settles where the wanted share of dispatches spills: known even where no need is told.
+        self.grant = min(8.0, max(0.3, self.grant * (1 + rate * (batch.spilt - self.spills))))
         stretch = min(10.0, latency * threads / max(1.0, work_us or batch.work))
         self.pace += 0.05 * (max(1.0, stretch) - self.pace)
         return stretch if work_us else 0.75 * stretch
@@ -78,8 +82,9 @@
 class Batch:
     def __init__(self, index: int, learned: Learned, now: int, left_us: int, work_us: int, memory_mb: float):
         self.index, self.learned, self.group, self.deadline = index, learned, learned.group, now + left_us
-        self.hint, self.memory_hint, self.memory = work_us, memory_mb, memory_mb * learned.memory_bias
+        self.hint, self.memory_hint, self.memory = work_us, memory_mb, memory_mb
         self.work = max(1_000.0, work_us * learned.bias or learned.usual)
+        self.memory *= learned.memory_bias if learned.pages else learned.grant
         self.solo = self.work / self.group.threads
         # A try cut shorter than the longest yet comes late in its client's wait: the goal ran from the first.
         learned.longest_left = max(learned.longest_left, left_us)
@@ -87,7 +92,7 @@
         self.goal = now - spent + self.group.goal_us + int(self.group.goal_stretch * self.solo)
         self.sends, self.kills, self.tried, self.over = 0, 0, set(), False
         self.out: dict[int, Dispatch] = {}
-        self.ran_since, self.ran_at, self.key, self.data_set = None, None, None, None
+        self.ran_since, self.ran_at, self.key, self.data_set, self.spilt = None, None, None, None, False
 
     def may_resend(self, now: int) -> bool:
         if self.ran_since is None or self.group.kind == names.REPEATABLE:
@@ -223,13 +228,13 @@
 
 
 class Gateway:
-    def __init__(self, *, seed, instance, gateways, groups, cores, memory_mb, grants, priorities, note_us,
+    def __init__(self, *, seed, instance, gateways, groups, cores, memory_mb, grants, pages, priorities, note_us,
                  report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us, cold,
                  key_rest_us, budget) -> None:
         if not groups:
             raise ValueError("settings name no service group")
         self.seed, self.instance, self.counter = seed, instance, count()
-        self.learned = [Learned(group) for group in groups]
+        self.learned = [Learned(group, pages) for group in groups]
         self.cores, self.memory_mb, self.gateways = cores, memory_mb, max(1, gateways)
         self.grants, self.priorities, self.note_us = grants, priorities, note_us
         # Of utilisations, cores before disks before memory: the design's order, carried on where it ends.
@@ -332,6 +337,7 @@
         batch = self.batches[index]
         if batch.over or number not in batch.out:
             return
+        batch.spilt = batch.spilt or sort == names.SPILLS
         if sort == names.WAITS and level == 2:
             held = self.engines[engine].held_sets
             held[batch.data_set] = max(held.get(batch.data_set, 0), self.now + 2 * PERIOD_US)
@@ -542,7 +548,7 @@
         engine.warm.append(batch.data_set)
         self._debit(engine, batch.work)
         if self.priorities or self.grants:
-            grant = round(1.15 * batch.memory) if self.grants else 0
+            grant = round(batch.learned.grant * batch.memory_hint) if self.grants else 0
             self.out.terms(batch.index, self._priority(batch), grant)
         self.out.dispatch(batch.index, engine.index, max(1, batch.deadline - self.now - self.step_us))
 
