Goal counted from each try, not from a guessed first one

Told from a capacity loss by idle engines (queues 0, memory 30%). Also covers groups of clients with unlike patience.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -53,7 +53,7 @@
         self.bias, self.memory_bias, self.grant = 1.0, 1.0, 2.0
         # Where engines page, a grant beyond the need takes nothing from others; elsewhere it does.
         self.pages, self.spills = pages, 0.02 if pages else 0.15
-        self.pace, self.latency, self.seen, self.estimated, self.longest_left = 1.5, 0.0, 0, 0, 0
+        self.pace, self.latency, self.seen, self.estimated = 1.5, 0.0, 0, 0
 
     def estimate(self, work_us: int) -> None:
         if work_us:
@@ -86,10 +86,8 @@
         self.work = max(1_000.0, work_us * learned.bias or learned.usual)
         self.memory *= learned.memory_bias if learned.pages else learned.grant
         self.solo = self.work / self.group.threads
-        # A try cut shorter than the longest yet comes late in its client's wait: the goal ran from the first.
-        learned.longest_left = max(learned.longest_left, left_us)
-        spent = self.group.limit_us - left_us if left_us < 0.99 * learned.longest_left else 0
-        self.goal = now - spent + self.group.goal_us + int(self.group.goal_stretch * self.solo)
+        # Counted from this try: a short time left may be a late try, but also a client that waits less.
+        self.goal = now + self.group.goal_us + int(self.group.goal_stretch * self.solo)
         self.sends, self.kills, self.tried, self.over = 0, 0, set(), False
         self.out: dict[int, Dispatch] = {}
         self.ran_since, self.ran_at, self.key, self.data_set, self.spilt = None, None, None, None, False
