--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -304,7 +304,7 @@
             batch.key = key
             self.keys.lines.setdefault(key, deque()).append(batch)
         last = batch.deadline - 2 * TICK_US
-        for due in (min(last, int(batch.goal - batch.solo) + 1), last):
+        for due in (min(last, int(batch.goal - 0.5 * batch.solo) + 1), last):
             heapq.heappush(self.later, (due, next(self.counter), batch))
         self._hold(batch)
 
@@ -451,9 +451,9 @@
     def _hopeless(self, batch: Batch) -> bool:
         """No use left in waiting: nothing to earn, no time, or no further dispatch allowed. Before others of
         its key a late batch only makes the next ones late."""
-        late = self.now + batch.solo > batch.goal
+        late = self.now + 0.5 * batch.solo > batch.goal
         crowded = batch.key is not None and len(self.keys.lines[batch.key]) > 1
-        return ((late and (not batch.group.late_utility or crowded)) or self.now + batch.solo > batch.deadline
+        return ((late and (not batch.group.late_utility or crowded)) or self.now + 0.5 * batch.solo > batch.deadline
                 or self.now >= batch.deadline - 2 * TICK_US
                 or batch.sends >= self.max_dispatches or not batch.may_resend(self.now))
 
