--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -24,8 +24,7 @@
 
 
 class Ring:
-    """Sums over the recent past in fixed buckets of time; one more than the span needs, so that either all
-    cover the span or all but the oldest lie within it."""
+    """Sums over fixed buckets of time: all of them cover the span, all but the oldest lie within it."""
 
     def __init__(self, span_us: int, buckets: int, fields: int = 1) -> None:
         self.width, self.buckets = max(1, -(-span_us // buckets)), buckets
@@ -53,12 +52,11 @@
         self.bias, self.memory_bias, self.grant = 1.0, 1.0, 2.0
         # Where engines page, a grant beyond the need takes nothing from others; elsewhere it does.
         self.pages, self.spills = pages, 0.02 if pages else 0.15
-        self.pace, self.latency, self.seen, self.estimated = 1.5, 0.0, 0, 0
+        self.pace, self.latency, self.seen = 1.5, 0.0, 0
 
     def estimate(self, work_us: int) -> None:
         if work_us:
-            self.estimated += 1
-            self.usual += (work_us * self.bias - self.usual) / min(self.estimated, 200)
+            self.usual += (work_us * self.bias - self.usual) / min(self.seen + 5, 200)
 
     def returned(self, batch: "Batch", latency: int, work_us: int, memory_mb: float) -> float:
         """Takes a sample, and tells by how much the batch ran longer than it would have alone."""
@@ -226,13 +224,13 @@
 
 
 class Gateway:
-    def __init__(self, *, seed, instance, gateways, groups, cores, memory_mb, grants, pages, priorities, note_us,
-                 report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us, cold,
-                 key_rest_us, budget) -> None:
+    def __init__(self, *, seed, instance, gateways, groups, cores, memory_mb, grants, pages, priorities,
+                 note_us, report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us,
+                 cold, key_rest_us, budget) -> None:
         if not groups:
             raise ValueError("settings name no service group")
         self.seed, self.instance, self.counter = seed, instance, count()
-        self.learned = [Learned(group, pages) for group in groups]
+        self.learned = [Learned(group, pages or not grants) for group in groups]
         self.cores, self.memory_mb, self.gateways = cores, memory_mb, max(1, gateways)
         self.grants, self.priorities, self.note_us = grants, priorities, note_us
         # Of utilisations, cores before disks before memory: the design's order, carried on where it ends.
@@ -378,7 +376,8 @@
         if engine.stretch > CROWDED:
             engine.cut(self.now)
         elif engine.pressed:
-            engine.window, engine.pressed = min(WIDEST, engine.window + 0.1 * (1 - engine.stretch / CROWDED)), False
+            spare, engine.pressed = 1 - engine.stretch / CROWDED, False
+            engine.window = min(WIDEST, engine.window + 0.1 * spare)
 
     # Health.
     def _blame(self, engine: Engine, outcome: str) -> None:
@@ -417,8 +416,7 @@
 
     # The ordinary path.
     def _solve(self) -> None:
-        live = self._live()
-        if not live:
+        if not (live := self._live()):
             return
         for engine in live:
             if self.load_field is None:
@@ -439,10 +437,9 @@
     # Holding and giving up.
     def _hold(self, batch: Batch) -> None:
         opens = self.keys.open_at(batch)
-        if opens is None:
-            return
-        if opens > self.now:
-            heapq.heappush(self.later, (opens, next(self.counter), batch))
+        if opens is None or opens > self.now:
+            if opens is not None:
+                heapq.heappush(self.later, (opens, next(self.counter), batch))
             return
         late = self.now + batch.solo > batch.goal
         worth = (batch.group.late_utility if late else 1.0) * batch.group.utility / batch.work
@@ -451,19 +448,14 @@
     def _hopeless(self, batch: Batch) -> bool:
         """No use left in waiting: nothing to earn, no time, or no further dispatch allowed. Before others of
         its key a late batch only makes the next ones late."""
-        late = self.now + 0.5 * batch.solo > batch.goal
-        crowded = batch.key is not None and len(self.keys.lines[batch.key]) > 1
-        return ((late and (not batch.group.late_utility or crowded)) or self.now + 0.5 * batch.solo > batch.deadline
-                or self.now >= batch.deadline - 2 * TICK_US
+        soonest = self.now + 0.5 * batch.solo  # estimates scatter: half the estimated run may be all of it
+        worthless = not batch.group.late_utility or (batch.key and len(self.keys.lines[batch.key]) > 1)
+        return ((worthless and soonest > batch.goal) or soonest > batch.deadline - 2 * TICK_US
                 or batch.sends >= self.max_dispatches or not batch.may_resend(self.now))
 
     def _review(self, batch: Batch) -> None:
-        if batch.over or batch.out:
-            return
-        if self._hopeless(batch):
-            self._give_up(batch)
-        else:
-            self._hold(batch)
+        if not batch.over and not batch.out:
+            (self._give_up if self._hopeless(batch) else self._hold)(batch)
 
     def _give_up(self, batch: Batch) -> None:
         if batch.harmless():
@@ -474,16 +466,14 @@
 
     def _close(self, batch: Batch) -> None:
         batch.over = True
-        if self.may_cancel:
-            for number in batch.out:
-                self.out.cancel(batch.index, number)
+        for number in batch.out if self.may_cancel else ():
+            self.out.cancel(batch.index, number)
         self._forget(batch)
 
     def _forget(self, batch: Batch) -> None:
         if batch.out or self.batches.pop(batch.index, None) is None or batch.key is None:
             return
-        following = self.keys.leave(batch)
-        if following is not None:
+        if following := self.keys.leave(batch):
             self._review(following)
 
     # Choosing.
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,65 @@
+"""The design's parts by themselves, and what a front must not be told."""
+
+import io
+
+import orjson
+import pytest
+
+from pathturn.adapter.codec import serve
+from pathturn.core.choice import Engine, Ring, fit, solve
+
+
+def test_ring_reuses_its_buckets_and_brackets_the_span() -> None:
+    ring = Ring(1000, 10)
+    for now in range(0, 5000, 50):
+        ring.add(now, 1)
+    assert ring.sums(4950)[0] >= 20 >= ring.sums(4950, within=True)[0] > 0
+    assert ring.sums(99_000)[0] == 0
+
+
+def test_line_follows_load_but_never_gains_from_it() -> None:
+    rising = [5, 10, 20, 30, 60]
+    assert fit(rising, [0] * 5) == (pytest.approx(0), pytest.approx(2))
+    assert fit([5, 10, 20, 30, 35], [0] * 5)[1] == 0
+    assert fit([0] * 5, rising) == (pytest.approx(0), pytest.approx(2))
+
+
+def test_split_leaves_a_loaded_engine_but_stops_where_response_rises() -> None:
+    def of(lines: list[tuple[float, float]]) -> list[float]:
+        return solve([8, 8], [2.0, 0.5], lines, [0.5, 0.5], 0.5)
+
+    assert of([(1, 0), (1, 0)]) == [0.5, 0.5]
+    assert of([(1, 1), (1, 1)])[1] > 0.55
+    assert of([(1, 1), (9, 1)]) == [0.5, 0.5]
+
+
+def test_load_is_smoothed_by_its_age() -> None:
+    engine = Engine(0, 1, 0, 0)
+    engine.hear_load(0, 1.0)
+    engine.hear_load(3_000_000, 0.0)
+    assert engine.load == pytest.approx(0.3679, abs=1e-3)
+
+
+def test_adapter_ends_plainly_on_a_malformed_line(capsys) -> None:
+    sink = io.BytesIO()
+    assert serve(io.BytesIO(b'{"tUs":1,"groups":[]}\n{"tUs":2}\n'), sink) == 2
+    assert sink.getvalue() == b'{"groups":[]}\n'
+    assert "malformed line" in capsys.readouterr().err
+
+
+def test_adapter_resolves_pages_in_order_and_forgets_on_restart() -> None:
+    config = {"classes": [{"name": "q", "promiseUs": 10**6, "deadlineUs": 10**7, "effect": "retryable"}]}
+    row = [7, "a", "m", 0, 0, 1, None]
+
+    def line(now: int, *events: list) -> bytes:
+        return orjson.dumps({"tUs": now, "groups": [{"gateway": 4, "input": events}]}) + b"\n"
+
+    hello = ["HELLO", 1, config]
+    first = line(0, hello, ["CENSUS", 0, [row]], ["ANNOUNCE", 2, 1, 0], ["CENSUS", 0, []],
+                 ["INGRESS", 99, "q", None, None, 10**7, 0, 0, 1, 0], ["SURPRISE", 1])
+    second = line(1, ["POWER_OFF"], hello, ["ANNOUNCE", 2, 1, 0], ["ANSWER", 99, 0, 7, "ok", 5, True])
+    sink = io.BytesIO()
+    assert serve(io.BytesIO(first + second), sink) == 0
+    replies = [orjson.loads(reply)["groups"][0]["steps"] for reply in sink.getvalue().splitlines()]
+    assert [step[:3] for step in replies[0] if step[0] == "RELAY"] == [["RELAY", 99, 7]]
+    assert not [step for step in replies[1] if step[0] != "SCHEDULE"]
