--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -45,8 +45,6 @@
 
 
 class Learned:
-    """What one service group's answers have taught: estimates' bias, usual work, pace and latency."""
-
     def __init__(self, group: names.ServiceGroup, pages: bool) -> None:
         self.group, self.usual = group, float(group.goal_us) * group.threads / 2
         self.bias, self.memory_bias, self.grant = 1.0, 1.0, 2.0
@@ -269,7 +267,6 @@
             self._review(heapq.heappop(self.later)[2])
         self._pump()
 
-    # What comes in.
     def wake(self, tag: int) -> None:
         self.out.wake(TICK_US, tag)
 
@@ -348,8 +345,7 @@
             self.out.cancel(batch.index, number)
 
     def probed(self, engine, well, latency_us, report) -> None:
-        if well:
-            self._report(self.engines[engine], report)
+        self._report(self.engines[engine], report if well else None)
 
     def withdrawn(self, index) -> None:
         if index in self.batches:
@@ -395,8 +391,8 @@
             self._shut(engine)
 
     def _shut(self, engine: Engine) -> None:
-        live = self._live()
-        if engine.shut_until > self.now or sum(each.shut_until > self.now for each in live) * 2 >= len(live):
+        shut = [each.shut_until > self.now for each in self._live()]
+        if engine.shut_until > self.now or 2 * sum(shut) + 2 > len(shut):
             return  # when most look bad, the fault is more likely in this gateway's own view
         engine.strikes = min(4, engine.strikes + 1) if engine.trial else 1
         pause = PERIOD_US * 2 ** (engine.strikes - 1) * (1 + 0.3 * self.chance(engine.index))
@@ -409,6 +405,7 @@
         if self.now - max(engine.heard, oldest.sent) < patience:
             return
         self._shut(engine)
+        engine.heard = self.now
         if engine.shut_until > self.now and self.may_cancel:
             for dispatch in engine.out.values():
                 if dispatch.batch.group.kind != names.ONCE_ONLY and not dispatch.batch.over:
@@ -449,7 +446,8 @@
         """No use left in waiting: nothing to earn, no time, or no further dispatch allowed. Before others of
         its key a late batch only makes the next ones late."""
         soonest = self.now + 0.5 * batch.solo  # estimates scatter: half the estimated run may be all of it
-        worthless = not batch.group.late_utility or (batch.key and len(self.keys.lines[batch.key]) > 1)
+        before_others = batch.key is not None and self.keys.lines[batch.key][-1] is not batch
+        worthless = before_others or not batch.group.late_utility
         return ((worthless and soonest > batch.goal) or soonest > batch.deadline - 2 * TICK_US
                 or batch.sends >= self.max_dispatches or not batch.may_resend(self.now))
 
@@ -488,7 +486,8 @@
 
     def _room(self, batch: Batch, engine: Engine) -> bool:
         group = batch.group
-        if engine.shut_until > self.now or (engine.trial and (engine.out or group.kind != names.REPEATABLE)):
+        if engine.shut_until > self.now or (engine.trial and (group.kind != names.REPEATABLE or any(
+                each.sent >= engine.shut_until for each in engine.out.values()))):
             return False
         if (group.holds_set or group.waits_for_set) and engine.held_sets.get(batch.data_set, 0) > self.now:
             return False
