--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -157,7 +157,7 @@
     that a cold engine may have. What it sent before its own start it cannot know: it waits a window out."""
 
     def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, now: int):
-        self.part, self.cold_us = 0.85 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
+        self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
         self.fall_us, self.from_us = fall_us, now + fall_us
         self.sent: dict[int, Ring] = {}
 
@@ -482,7 +482,7 @@
                 and batch.sends < self.max_dispatches and batch.may_resend(self.now) and batch.allowed(engine)
                 and opens is not None and opens <= self.now
                 and (not batch.sends or self.budget is None or self.budget.allows(self.now))
-                and self.cold.allows(self.now, engine, batch.learned.usual))
+                and self.cold.allows(self.now, engine, max(batch.learned.usual, batch.work)))
 
     def _room(self, batch: Batch, engine: Engine) -> bool:
         group = batch.group
@@ -527,7 +527,7 @@
         if batch.sends and self.budget:
             self.budget.spent.add(self.now, 1)
         if engine.index in self.cold.sent:
-            self.cold.sent[engine.index].add(self.now, batch.learned.usual)
+            self.cold.sent[engine.index].add(self.now, max(batch.learned.usual, batch.work))
         batch.sends += 1
         batch.tried.add(engine.index)
         if batch.group.holds_set:
