Crowded keys shed the longest batch, so that the fewest are late

Replaces the rule that late batches leave if others follow. Harm: an overestimated batch is pushed back for nothing.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -302,6 +302,8 @@
         for due in (min(last, int(batch.goal - 0.5 * batch.solo) + 1), last):
             heapq.heappush(self.later, (due, next(self.counter), batch))
         self._hold(batch)
+        if batch.key is not None:
+            self._thin(batch.key)
 
     def answer(self, index, number, engine, outcome, latency, complete, work_us, memory_mb, report) -> None:
         batch, engine = self.batches[index], self.engines[engine]
@@ -443,14 +445,24 @@
         heapq.heappush(self.ready, (-worth, next(self.counter), batch))
 
     def _hopeless(self, batch: Batch) -> bool:
-        """No use left in waiting: nothing to earn, no time, or no further dispatch allowed. Before others of
-        its key a late batch only makes the next ones late."""
+        """No use left in waiting: nothing to earn, no time, or no further dispatch allowed."""
         soonest = self.now + 0.5 * batch.solo  # estimates scatter: half the estimated run may be all of it
-        before_others = batch.key is not None and self.keys.lines[batch.key][-1] is not batch
-        worthless = before_others or not batch.group.late_utility
-        return ((worthless and soonest > batch.goal) or soonest > batch.deadline - 2 * TICK_US
+        return ((not batch.group.late_utility and soonest > batch.goal) or soonest > batch.deadline - 2 * TICK_US
                 or batch.sends >= self.max_dispatches or not batch.may_resend(self.now))
 
+    def _thin(self, key: str) -> None:
+        """A crowded key would make all its batches late: where one would be, the longest up to it leaves, which
+        leaves the fewest late (Moore and Hodgson). Harm: an overestimated batch is pushed back for nothing."""
+        ends, kept = self.now, []
+        for batch in list(self.keys.lines[key]):
+            ends += batch.solo * batch.learned.pace
+            kept += [batch] * (not batch.sends)
+            if ends > batch.goal and kept:
+                longest = max(kept, key=lambda each: each.solo)
+                kept.remove(longest)
+                ends -= longest.solo * longest.learned.pace
+                self._give_up(longest)
+
     def _review(self, batch: Batch) -> None:
         if not batch.over and not batch.out:
             (self._give_up if self._hopeless(batch) else self._hold)(batch)
