--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -6,7 +6,7 @@
 import heapq
 from collections import deque
 from itertools import count
-from math import exp
+from math import exp, inf
 from zlib import crc32
 
 from pathturn.core import interface as names
@@ -84,8 +84,7 @@
         self.solo = self.work / self.group.threads
         # Counted from this try: a short time left may be a late try, but also a client that waits less.
         self.goal = now + self.group.goal_us + int(self.group.goal_stretch * self.solo)
-        self.sends, self.kills, self.tried, self.over = 0, 0, set(), False
-        self.out: dict[int, Dispatch] = {}
+        self.sends, self.kills, self.tried, self.over, self.out = 0, 0, set(), False, {}
         self.ran_since, self.ran_at, self.key, self.data_set, self.spilt = None, None, None, None, False
 
     def may_resend(self, now: int) -> bool:
@@ -123,8 +122,7 @@
         self.out: dict[tuple[int, int], Dispatch] = {}
         self.threads, self.memory, self.stretch, self.cut_at, self.pressed = 0, 0.0, 1.0, now, False
         self.heard, self.shut_until, self.trial, self.strikes = now, 0, 0, 0
-        self.warm: deque[int | None] = deque(maxlen=8)
-        self.held_sets: dict[int, int] = {}
+        self.warm, self.held_sets = deque(maxlen=8), {}
 
     def hear_load(self, now: int, load: float) -> None:
         """The design's moving average; the first report stands as it is."""
@@ -158,8 +156,7 @@
 
     def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, now: int):
         self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
-        self.fall_us, self.from_us = fall_us, now + fall_us
-        self.sent: dict[int, Ring] = {}
+        self.fall_us, self.from_us, self.sent = fall_us, now + fall_us, {}
 
     def allows(self, now: int, engine: Engine, work: float) -> bool:
         if now >= engine.cold_until or not self.part:
@@ -172,9 +169,8 @@
     """Batches of one key, in the order taken; a key rests after a dispatch that may still be running."""
 
     def __init__(self, rest_us: int) -> None:
-        self.rest_us = rest_us
+        self.rest_us, self.resting = rest_us, {}
         self.lines: dict[str, deque[Batch]] = {}
-        self.resting: dict[str, int] = {}
 
     def open_at(self, batch: Batch) -> int | None:
         """When the key lets it go first; None while earlier ones stand before it."""
@@ -236,7 +232,7 @@
         self.fields, self.probes, self.step_us = report_fields, probes, step_us
         self.ask_at = 0 if ask_list else None
         self.max_dispatches, self.may_cancel, self.retry_us = max_dispatches, may_cancel, retry_us
-        self.budget, self.cold_settings = Budget(*budget) if budget else None, cold
+        self.budget, self.cold_settings = Budget(*(budget or (inf, 0.0, PERIOD_US))), cold
         self.keys, self.cold = KeyLines(key_rest_us), None
         self.engines: dict[int, Engine] = {}
         self.batches: dict[int, Batch] = {}
@@ -256,7 +252,6 @@
         for name, *fields in events:
             getattr(self, name)(*fields)
         if now_us - self.solved_at >= PERIOD_US:
-            self.solved_at = now_us
             self._solve()
         if self.ask_at is not None and now_us >= self.ask_at:
             self.ask_at = None
@@ -293,8 +288,7 @@
         learned.estimate(work_us)
         batch = self.batches[index] = Batch(index, learned, self.now, left_us, work_us, memory_mb)
         batch.data_set = data_set
-        if self.budget:
-            self.budget.taken.add(self.now, 1)
+        self.budget.taken.add(self.now, 1)
         if batch.group.in_order and key is not None:
             batch.key = key
             self.keys.lines.setdefault(key, deque()).append(batch)
@@ -333,9 +327,6 @@
         if batch.over or number not in batch.out:
             return
         batch.spilt = batch.spilt or sort == names.SPILLS
-        if sort == names.WAITS and level == 2:
-            held = self.engines[engine].held_sets
-            held[batch.data_set] = max(held.get(batch.data_set, 0), self.now + 2 * PERIOD_US)
         if sort != names.PROGRESS or not self.may_cancel or batch.kills or batch.sends >= self.max_dispatches:
             return
         # Against bad plans; also catches a dispatch stuck behind others' work. Does harm where an estimate is
@@ -415,7 +406,8 @@
 
     # The ordinary path.
     def _solve(self) -> None:
-        if not (live := self._live()):
+        live, self.solved_at = self._live(), self.now
+        if not live:
             return
         for engine in live:
             if self.load_field is None:
@@ -435,24 +427,23 @@
 
     # Holding and giving up.
     def _hold(self, batch: Batch) -> None:
-        opens = self.keys.open_at(batch)
-        if opens is None or opens > self.now:
-            if opens is not None:
-                heapq.heappush(self.later, (opens, next(self.counter), batch))
+        if (opens := self.keys.open_at(batch)) is None:
             return
         late = self.now + batch.solo > batch.goal
         worth = (batch.group.late_utility if late else 1.0) * batch.group.utility / batch.work
-        heapq.heappush(self.ready, (-worth, next(self.counter), batch))
+        queue, rank = (self.later, opens) if opens > self.now else (self.ready, -worth)
+        heapq.heappush(queue, (rank, next(self.counter), batch))
 
     def _hopeless(self, batch: Batch) -> bool:
         """No use left in waiting: nothing to earn, no time, or no further dispatch allowed."""
         soonest = self.now + 0.5 * batch.solo  # estimates scatter: half the estimated run may be all of it
-        return ((not batch.group.late_utility and soonest > batch.goal) or soonest > batch.deadline - 2 * TICK_US
-                or batch.sends >= self.max_dispatches or not batch.may_resend(self.now))
+        last = batch.deadline - 2 * TICK_US
+        return (soonest > (last if batch.group.late_utility else min(last, batch.goal)) or batch.sends >= self.max_dispatches
+                or not batch.may_resend(self.now))
 
     def _thin(self, key: str) -> None:
-        """A crowded key would make all its batches late: where one would be, the longest up to it leaves, which
-        leaves the fewest late (Moore and Hodgson). Harm: an overestimated batch is pushed back for nothing."""
+        """A crowded key makes all its batches late: where one would be, the longest up to it leaves, so that
+        the fewest are late (Moore and Hodgson). Harm: an overestimated batch is pushed back for nothing."""
         ends, kept = self.now, []
         for batch in list(self.keys.lines[key]):
             ends += batch.solo * batch.learned.pace
@@ -493,7 +484,7 @@
         return (engine.state == names.READY and not batch.over and not batch.out
                 and batch.sends < self.max_dispatches and batch.may_resend(self.now) and batch.allowed(engine)
                 and opens is not None and opens <= self.now
-                and (not batch.sends or self.budget is None or self.budget.allows(self.now))
+                and (not batch.sends or self.budget.allows(self.now))
                 and self.cold.allows(self.now, engine, max(batch.learned.usual, batch.work)))
 
     def _room(self, batch: Batch, engine: Engine) -> bool:
@@ -519,8 +510,7 @@
     def _pump(self) -> None:
         passed = []
         while self.ready and len(passed) < SKIPS:
-            entry = heapq.heappop(self.ready)
-            batch = entry[2]
+            entry = _, _, batch = heapq.heappop(self.ready)
             if batch.over or batch.out:
                 continue
             if self._hopeless(batch):
@@ -536,7 +526,7 @@
         dispatch = Dispatch(batch, engine, self.now)
         batch.out[batch.sends] = engine.out[batch.index, batch.sends] = dispatch
         engine.enter(batch, 1)
-        if batch.sends and self.budget:
+        if batch.sends:
             self.budget.spent.add(self.now, 1)
         if engine.index in self.cold.sent:
             self.cold.sent[engine.index].add(self.now, max(batch.learned.usual, batch.work))
