--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -122,7 +122,7 @@
         self.out: dict[tuple[int, int], Dispatch] = {}
         self.threads, self.memory, self.stretch, self.cut_at, self.pressed = 0, 0.0, 1.0, now, False
         self.heard, self.shut_until, self.trial, self.strikes = now, 0, 0, 0
-        self.warm, self.held_sets = deque(maxlen=8), {}
+        self.warm, self.held_sets = deque(maxlen=8), set()
 
     def hear_load(self, now: int, load: float) -> None:
         """The design's moving average; the first report stands as it is."""
@@ -305,7 +305,7 @@
         del engine.out[index, number]
         engine.enter(batch, -1)
         if batch.group.holds_set:
-            engine.held_sets.pop(batch.data_set, None)
+            engine.held_sets.discard(batch.data_set)
         self._report(engine, report)
         if outcome == names.RETURNED:
             self._returned(engine, dispatch, latency, work_us, memory_mb)
@@ -344,7 +344,6 @@
         if index in self.batches:
             self._close(self.batches[index])
 
-    # Learning.
     def _report(self, engine: Engine, report: list[float] | None) -> None:
         told = dict(zip(self.fields, report or ()))
         if self.load_field in told:
@@ -438,8 +437,8 @@
         """No use left in waiting: nothing to earn, no time, or no further dispatch allowed."""
         soonest = self.now + 0.5 * batch.solo  # estimates scatter: half the estimated run may be all of it
         last = batch.deadline - 2 * TICK_US
-        return (soonest > (last if batch.group.late_utility else min(last, batch.goal)) or batch.sends >= self.max_dispatches
-                or not batch.may_resend(self.now))
+        last = last if batch.group.late_utility else min(last, batch.goal)
+        return soonest > last or batch.sends >= self.max_dispatches or not batch.may_resend(self.now)
 
     def _thin(self, key: str) -> None:
         """A crowded key makes all its batches late: where one would be, the longest up to it leaves, so that
@@ -492,7 +491,7 @@
         if engine.shut_until > self.now or (engine.trial and (group.kind != names.REPEATABLE or any(
                 each.sent >= engine.shut_until for each in engine.out.values()))):
             return False
-        if (group.holds_set or group.waits_for_set) and engine.held_sets.get(batch.data_set, 0) > self.now:
+        if (group.holds_set or group.waits_for_set) and batch.data_set in engine.held_sets:
             return False
         threads = (engine.threads + group.threads) / (engine.cores * THREADS_PER_CORE)
         memory = (engine.memory + batch.memory) / engine.memory_mb if engine.memory_mb else 0.0
@@ -533,7 +532,7 @@
         batch.sends += 1
         batch.tried.add(engine.index)
         if batch.group.holds_set:
-            engine.held_sets[batch.data_set] = batch.deadline
+            engine.held_sets.add(batch.data_set)
         engine.warm.append(batch.data_set)
         self._debit(engine, batch.work)
         if self.priorities or self.grants:
