--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -72,7 +72,7 @@
         self.grant = min(8.0, max(0.3, self.grant * (1 + rate * (batch.spilt - self.spills))))
         stretch = min(10.0, latency * threads / max(1.0, work_us or batch.work))
         self.pace += 0.05 * (max(1.0, stretch) - self.pace)
-        return stretch if work_us else 0.75 * stretch
+        return stretch if work_us else 0.62 * stretch
 
 
 class Batch:
@@ -553,4 +553,4 @@
             return 3
         dearest = max(each.group.utility / each.usual for each in self.learned)
         value = batch.group.utility / batch.work / dearest
-        return 3 if value > 0.5 else 2 if value > 0.2 else 1 if value > 0.05 else 0
+        return 2 if value > 0.2 else 1 if value > 0.05 else 0
