--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -50,11 +50,11 @@
         self.bias, self.memory_bias, self.grant = 1.0, 1.0, 2.0
         # Where engines page, a grant beyond the need takes nothing from others; elsewhere it does.
         self.pages, self.spills = pages, 0.02 if pages else 0.15
-        self.pace, self.latency, self.seen = 1.5, 0.0, 0
+        self.pace, self.latency, self.seen, self.asked = 1.5, 0.0, 0, 0.0
 
     def estimate(self, work_us: int) -> None:
-        if work_us:
-            self.usual += (work_us * self.bias - self.usual) / min(self.seen + 5, 200)
+        self.asked += self.group.utility
+        self.usual += (work_us * self.bias - self.usual) / min(self.seen + 5, 200) if work_us else 0
 
     def returned(self, batch: "Batch", latency: int, work_us: int, memory_mb: float) -> float:
         """Takes a sample, and tells by how much the batch ran longer than it would have alone."""
@@ -72,7 +72,7 @@
         self.grant = min(8.0, max(0.3, self.grant * (1 + rate * (batch.spilt - self.spills))))
         stretch = min(10.0, latency * threads / max(1.0, work_us or batch.work))
         self.pace += 0.05 * (max(1.0, stretch) - self.pace)
-        return stretch if work_us else 0.62 * stretch
+        return stretch if work_us else 0.75 * stretch
 
 
 class Batch:
@@ -367,7 +367,6 @@
             spare, engine.pressed = 1 - engine.stretch / CROWDED, False
             engine.window = min(WIDEST, engine.window + 0.1 * spare)
 
-    # Health.
     def _blame(self, engine: Engine, outcome: str) -> None:
         """By symptom: quick errors, lost connections. None is a latency sample, so none looks cheap."""
         if outcome == names.FULL:
@@ -476,7 +475,6 @@
         if following := self.keys.leave(batch):
             self._review(following)
 
-    # Choosing.
     def _gate(self, batch: Batch, engine: Engine) -> bool:
         """The one way out: rules 2 to 7 and the limits on copies and dispatches."""
         opens = self.keys.open_at(batch)
@@ -549,8 +547,10 @@
         chosen.credit = max(-10.0, chosen.credit - size)
 
     def _priority(self, batch: Batch) -> int:
-        if batch.group.holds_set:
-            return 3
+        """A load frees its data set; a group that brings most of the utility is not put beside the rest."""
         dearest = max(each.group.utility / each.usual for each in self.learned)
         value = batch.group.utility / batch.work / dearest
+        bulk = value > 0.5 and 2 * batch.learned.asked > sum(each.asked for each in self.learned)
+        if batch.group.holds_set or bulk:
+            return 3
         return 2 if value > 0.2 else 1 if value > 0.05 else 0
