--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -6,7 +6,8 @@
 import pytest
 
 from pathturn.adapter.codec import serve
-from pathturn.core.choice import Engine, Ring, fit, solve
+from pathturn.core import interface as names
+from pathturn.core.choice import Batch, Engine, Learned, Ring, fit, solve
 
 
 def test_ring_reuses_its_buckets_and_brackets_the_span() -> None:
@@ -40,6 +41,16 @@
     assert engine.load == pytest.approx(0.3679, abs=1e-3)
 
 
+def test_grants_grow_until_few_spill_and_bias_follows_the_median() -> None:
+    learned = Learned(names.ServiceGroup(10**6, 2.0, 10**7, 1.0, 0.0, names.REPEATABLE), pages=False)
+    for number in range(300):
+        batch = Batch(number, learned, 0, 10**7, 100_000, 10.0)
+        batch.spilt = learned.grant * 10 < 40
+        learned.returned(batch, 5_000_000 if number % 10 == 0 else 250_000, 0, 0)
+    assert 3 < learned.grant < 5
+    assert 2 < learned.bias < 3.2
+
+
 def test_adapter_ends_plainly_on_a_malformed_line(capsys) -> None:
     sink = io.BytesIO()
     assert serve(io.BytesIO(b'{"tUs":1,"groups":[]}\n{"tUs":2}\n'), sink) == 2
