Small batches also keep priority 3 while their group clearly fares worst

Also covers any small group that a crowd delays. Harm: for some dozens of batches after a group had a bad stretch for another cause.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -50,7 +50,7 @@
         self.bias, self.memory_bias, self.grant = 1.0, 1.0, 2.0
         # Where engines page, a grant beyond the need takes nothing from others; elsewhere it does.
         self.pages, self.spills = pages, 0.02 if pages else 0.15
-        self.pace, self.latency, self.seen, self.asked = 1.5, 0.0, 0, 0.0
+        self.pace, self.latency, self.seen, self.asked, self.met = 1.5, 0.0, 0, 0.0, 1.0
 
     def estimate(self, work_us: int) -> None:
         self.asked += self.group.utility
@@ -84,7 +84,7 @@
         self.solo = self.work / self.group.threads
         # Counted from this try: a short time left may be a late try, but also a client that waits less.
         self.goal = now + self.group.goal_us + int(self.group.goal_stretch * self.solo)
-        self.sends, self.kills, self.tried, self.over, self.out = 0, 0, set(), False, {}
+        self.sends, self.kills, self.tried, self.over, self.met, self.out = 0, 0, set(), False, False, {}
         self.ran_since, self.ran_at, self.key, self.data_set, self.spilt = None, None, None, None, False
 
     def may_resend(self, now: int) -> bool:
@@ -354,7 +354,7 @@
 
     def _returned(self, engine: Engine, dispatch: Dispatch, latency: int, work_us: int, memory_mb: float):
         batch, learned, load = dispatch.batch, dispatch.batch.learned, dispatch.load
-        engine.heard = self.now
+        engine.heard, batch.met = self.now, self.now <= batch.goal
         engine.answers.add(self.now, 0, 1)
         engine.trial = max(0, engine.trial - 1)
         stretch = learned.returned(batch, latency, work_us, memory_mb)
@@ -402,7 +402,6 @@
                 if dispatch.batch.group.kind != names.ONCE_ONLY and not dispatch.batch.over:
                     self.out.cancel(dispatch.batch.index, dispatch.number)
 
-    # The ordinary path.
     def _solve(self) -> None:
         live, self.solved_at = self._live(), self.now
         if not live:
@@ -423,7 +422,6 @@
         for engine, share in zip(live, shares):
             engine.share = share
 
-    # Holding and giving up.
     def _hold(self, batch: Batch) -> None:
         if (opens := self.keys.open_at(batch)) is None:
             return
@@ -470,9 +468,10 @@
         self._forget(batch)
 
     def _forget(self, batch: Batch) -> None:
-        if batch.out or self.batches.pop(batch.index, None) is None or batch.key is None:
+        if batch.out or self.batches.pop(batch.index, None) is None:
             return
-        if following := self.keys.leave(batch):
+        batch.learned.met += 0.02 * (batch.met - batch.learned.met)
+        if batch.key is not None and (following := self.keys.leave(batch)):
             self._review(following)
 
     def _gate(self, batch: Batch, engine: Engine) -> bool:
@@ -547,10 +546,11 @@
         chosen.credit = max(-10.0, chosen.credit - size)
 
     def _priority(self, batch: Batch) -> int:
-        """A load frees its data set; a group that brings most of the utility is not put beside the rest."""
-        dearest = max(each.group.utility / each.usual for each in self.learned)
+        """A load frees its data set; small batches go first if they bring the most or clearly fare worst."""
+        dearest, mine = max(each.group.utility / each.usual for each in self.learned), batch.learned
         value = batch.group.utility / batch.work / dearest
-        bulk = value > 0.5 and 2 * batch.learned.asked > sum(each.asked for each in self.learned)
-        if batch.group.holds_set or bulk:
+        most = 2 * mine.asked > sum(each.asked for each in self.learned)
+        worst = mine.met < 0.9 * max(each.met for each in self.learned)
+        if batch.group.holds_set or (value > 0.5 and (most or worst)):
             return 3
         return 2 if value > 0.2 else 1 if value > 0.05 else 0
