--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -128,6 +128,10 @@
     def ends(self, name, how):
         assert self.ended(name) == [how], f"{name} ended {self.ended(name)}"
 
+    def priority(self, name, level):
+        told = [call[2] for call in self.calls if call[:2] == ("terms", self.number(name))]
+        assert told[-1:] == [int(level)], f"{name} went out at {told}"
+
     def cancelled(self, *batches):
         called = [self.batches[call[1]] for call in self.calls if call[0] == "cancel"]
         assert called == list(batches), f"cancelled {called}"
