Adapter and runner: drop parameters that did nothing, one look-up, no special word

A gateway decides once its events are in, so Codec.event never had steps to clear, nor used the time. An answer settled its batch twice. The runner looked a dispatch up in two places and renamed the word out, since a field had its name. Behaviour and claims are as before.

--- a/pathturn/adapter/codec.py
+++ b/pathturn/adapter/codec.py
@@ -121,8 +121,7 @@
         outcome = OUTCOMES.get(rc, names.ERRORED)
         self.events.append(("answer", batch, trial, self.engine(node), outcome, latency or 0, bool(complete),
                             (told >> 12) * 1000, (told & 4095) * 4, load))
-        if complete:
-            self.end(batch)
+        self.over[batch] = self.over[batch] or bool(complete)
         self.settle(batch)
 
     def notice(self, rid, node, sort, level, trial) -> None:
@@ -162,7 +161,7 @@
         self.fronts: dict[int, Front] = {}
         self.pages: dict[int, list] = {}
 
-    def event(self, gateway: int, now: int, message: list, steps: list[list]) -> None:
+    def event(self, gateway: int, message: list) -> None:
         name, fields = message[0], message[1:]
         front = self.fronts.get(gateway)
         if name == "CENSUS":
@@ -170,9 +169,8 @@
         elif name == "HELLO":
             self.fronts[gateway] = Front(fields[0], fields[1])
         elif name == "POWER_OFF":
-            # What it decided before it was killed in this very batch is void with it.
+            # It decides only once all of its events are in, so what came before in this line is void with it.
             self.fronts.pop(gateway, None)
-            steps.clear()
         elif front is None:
             return
         elif name == "ANNOUNCE":
@@ -188,13 +186,11 @@
             now, groups = message["tUs"], message["groups"]
             replies = []
             for group in groups:
-                gateway, steps = group["gateway"], []
+                gateway = group["gateway"]
                 for event in group["input"]:
-                    self.event(gateway, now, event, steps)
+                    self.event(gateway, event)
                 front = self.fronts.get(gateway)
-                if front is not None and front.events:
-                    steps += self.decide(front, now)
-                if steps:
+                if front is not None and front.events and (steps := self.decide(front, now)):
                     replies.append({"gateway": gateway, "steps": steps})
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, IndexError) as fault:
             raise Malformed(f"malformed line: {type(fault).__name__}: {fault}") from fault
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,12 +21,12 @@
             "probes": False, "ask_list": False, "max_dispatches": 4, "may_cancel": True, "retry_us": 0,
             "step_us": 1000, "cold": (1.0, 0, 0.0, 0), "key_rest_us": 0, "budget": None}
         self.gateway, self.now = None, 0
-        self.out, self.sent, self.groups, self.batches, self.calls = {}, {}, [], [], []
+        self.flying, self.sent, self.groups, self.batches, self.calls = {}, {}, [], [], []
 
     # The writer's side.
     def dispatch(self, batch, engine, limit_us):
         number = self.sent[batch] = self.sent.get(batch, -1) + 1
-        self.out[batch, number] = (engine, self.now, limit_us)
+        self.flying[batch, number] = engine
         self.calls.append(("dispatch", batch, engine))
 
     def cancel(self, batch, dispatch):
@@ -64,7 +64,11 @@
         return self.batches.index(name)
 
     def where(self, name):
-        return [engine for (batch, _), (engine, *_) in self.out.items() if batch == self.number(name)]
+        return [engine for (batch, _), engine in self.flying.items() if batch == self.number(name)]
+
+    def dispatched(self, name):
+        batch = self.number(name)
+        return next((*key, engine) for key, engine in self.flying.items() if key[0] == batch)
 
     def ended(self, name):
         finals = [call for call in self.calls if call[0] in ("push_back", "error")]
@@ -96,15 +100,13 @@
                     int(data_set), False))
 
     def answer(self, name, outcome, latency="100"):
-        batch = self.number(name)
-        (_, number), (engine, *_) = next(item for item in self.out.items() if item[0][0] == batch)
-        del self.out[batch, number]
+        batch, number, engine = self.dispatched(name)
+        del self.flying[batch, number]
         done = outcome == names.RETURNED
         self.round(("answer", batch, number, engine, outcome, int(latency) * 1000, done, 0, 0, None))
 
     def note(self, name, sort, level):
-        batch = self.number(name)
-        (_, number), (engine, *_) = next(item for item in self.out.items() if item[0][0] == batch)
+        batch, number, engine = self.dispatched(name)
         self.round(("note", batch, engine, int(sort), float(level), number))
 
     def leave(self, name):
@@ -119,7 +121,7 @@
     def at(self, name, *engines):
         assert self.where(name) == [int(each) for each in engines], f"{name} is at {self.where(name)}"
 
-    def is_out(self, name):
+    def out(self, name):
         assert self.where(name), f"{name} is not out"
 
     def held(self, name):
@@ -164,7 +166,7 @@
             try:
                 options = dict(value.split("=") for value in values if "=" in value)
                 plain = [value for value in values if "=" not in value]
-                getattr(stage, f"is_{word}" if word == "out" else word)(*plain, **options)
+                getattr(stage, word)(*plain, **options)
             except AssertionError as fault:
                 raise AssertionError(f"{' '.join([word, *values])}: {fault}") from None
 
