--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -4,7 +4,7 @@
 """
 
 import heapq
-from collections import deque
+from collections import defaultdict, deque
 from itertools import count
 from math import exp, inf
 from zlib import crc32
@@ -78,9 +78,9 @@
 class Batch:
     def __init__(self, index: int, learned: Learned, now: int, left_us: int, work_us: int, memory_mb: float):
         self.index, self.learned, self.group, self.deadline = index, learned, learned.group, now + left_us
-        self.hint, self.memory_hint, self.memory = work_us, memory_mb, memory_mb
+        self.hint, self.memory_hint = work_us, memory_mb
         self.work = max(1_000.0, work_us * learned.bias or learned.usual)
-        self.memory *= learned.memory_bias if learned.pages else learned.grant
+        self.memory = memory_mb * (learned.memory_bias if learned.pages else learned.grant)
         self.solo = self.work / self.group.threads
         # Counted from this try: a short time left may be a late try, but also a client that waits less.
         self.goal = now + self.group.goal_us + int(self.group.goal_stretch * self.solo)
@@ -156,12 +156,12 @@
 
     def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, now: int):
         self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
-        self.fall_us, self.from_us, self.sent = fall_us, now + fall_us, {}
+        self.from_us, self.sent = now + fall_us, defaultdict(lambda: Ring(fall_us, 10))
 
     def allows(self, now: int, engine: Engine, work: float) -> bool:
         if now >= engine.cold_until or not self.part:
             return True
-        spent = self.sent.setdefault(engine.index, Ring(self.fall_us, 10)).sums(now)[0]
+        spent = self.sent[engine.index].sums(now)[0]
         return now >= self.from_us and spent + work <= self.part * engine.cores
 
 
