One window over the whole fleet, from pooled answers; rounds only when needed

Cause: each gateway might have one batch on every engine, so hundreds of gateways had no limit at all.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -109,18 +109,44 @@
         return engine.zone == first.zone if group.repeat_scope == "zone" else engine.cell == first.cell
 
 
+class Window:
+    """Own threads or memory out at once, in parts of an engine: opens while batches are kept out and answers
+    run little longer than alone, closes while they crowd."""
+
+    def __init__(self, width: float, now: int) -> None:
+        self.width, self.stretch, self.cut_at, self.pressed = width, 1.0, now, False
+
+    def cut(self, now: int) -> None:
+        if now - self.cut_at >= PERIOD_US:
+            self.cut_at, self.width = now, max(NARROWEST, 0.85 * self.width)
+
+    def learn(self, now: int, stretch: float, widest: float) -> None:
+        self.stretch += 0.15 * (stretch - self.stretch)
+        if self.stretch > CROWDED:
+            self.cut(now)
+        elif self.pressed:
+            spare, self.pressed = 1 - self.stretch / CROWDED, False
+            self.width = min(widest, self.width + 0.1 * spare)
+
+    def fits(self, wanted: float, free: bool) -> bool:
+        """Whether that much may be out; what is free may always take one."""
+        fits = free or wanted <= self.width
+        self.pressed = self.pressed or not fits
+        return fits
+
+
 class Dispatch:
     def __init__(self, batch: Batch, engine: "Engine", now: int) -> None:
         self.batch, self.number, self.sent, self.load = batch, batch.sends, now, engine.load
 
 
 class Engine:
-    def __init__(self, index: int, window: float, credit: float, now: int) -> None:
-        self.index, self.window, self.credit, self.share = index, window, credit, 0.0
+    def __init__(self, index: int, width: float, credit: float, now: int) -> None:
+        self.index, self.window, self.credit, self.share = index, Window(width, now), credit, 0.0
         self.state, self.cold_until, self.load, self.load_at, self.reported = names.GONE, 0, 0.0, 0, False
         self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(3 * PERIOD_US, 6, 2)
         self.out: dict[tuple[int, int], Dispatch] = {}
-        self.threads, self.memory, self.stretch, self.cut_at, self.pressed = 0, 0.0, 1.0, now, False
+        self.threads, self.memory = 0, 0.0
         self.heard, self.shut_until, self.trial, self.strikes = now, 0, 0, 0
         self.warm, self.held_sets = deque(maxlen=8), set()
 
@@ -130,10 +156,6 @@
         self.load += weight * (load - self.load)
         self.load_at, self.reported = now, True
 
-    def cut(self, now: int) -> None:
-        if now - self.cut_at >= PERIOD_US:
-            self.cut_at, self.window = now, max(NARROWEST, 0.85 * self.window)
-
     def enter(self, batch: Batch, sign: int) -> None:
         self.threads += sign * batch.group.threads
         self.memory = max(0.0, self.memory + sign * batch.memory)
@@ -236,7 +258,8 @@
         self.keys, self.cold = KeyLines(key_rest_us), None
         self.engines: dict[int, Engine] = {}
         self.batches: dict[int, Batch] = {}
-        self.ready, self.later, self.mean_work, self.solved_at = [], [], 1.0, 0
+        self.ready, self.later, self.mean_work, self.solved_at, self.wake_at = [], [], 1.0, 0, 0
+        self.window, self.threads, self.engine_threads = None, 0, 1.0
 
     def _live(self) -> list[Engine]:
         return [engine for engine in self.engines.values() if engine.state == names.READY]
@@ -248,22 +271,31 @@
         self.now, self.out = now_us, writer
         if self.cold is None:
             self.cold = ColdGuard(*self.cold_settings, self.gateways, now_us)
-            self.wake(0)
         for name, *fields in events:
             getattr(self, name)(*fields)
-        if now_us - self.solved_at >= PERIOD_US:
+        if now_us - self.solved_at >= PERIOD_US and self.batches:
             self._solve()
         if self.ask_at is not None and now_us >= self.ask_at:
             self.ask_at = None
             writer.subscribe(True)
-        for engine in [each for each in self.engines.values() if each.out]:
+        busy = [each for each in self.engines.values() if each.out]
+        for engine in busy:
             self._silent(engine)
         while self.later and self.later[0][0] <= now_us:
             self._review(heapq.heappop(self.later)[2])
         self._pump()
+        self._sleep(bool(busy))
 
     def wake(self, tag: int) -> None:
-        self.out.wake(TICK_US, tag)
+        pass
+
+    def _sleep(self, busy: bool) -> None:
+        """Asks for the next round only where one is needed: most gateways have little traffic."""
+        due = min(self.later[0][0] if self.later else inf, self.ask_at or inf)
+        due = min(due, self.now + TICK_US * (1 if self.ready else 4 if busy else inf))
+        if due < inf and not self.now < self.wake_at <= due:
+            self.wake_at = max(due, self.now + self.step_us)
+            self.out.wake(self.wake_at - self.now, 0)
 
     def listing(self, form: int, entries: list[tuple]) -> None:
         if form == names.FAILED:
@@ -282,6 +314,9 @@
             if started:
                 engine.cold_until = max(engine.cold_until, started + self.cold.cold_us)
         self.solved_at = 0
+        live = self._live()
+        self.engine_threads = THREADS_PER_CORE * sum(each.cores for each in live) / max(1, len(live))
+        self.window = self.window or Window(1.2 * len(live) / self.gateways, self.now)
 
     def batch(self, index, group, customer, key, left_us, work_us, memory_mb, data_set, repeat) -> None:
         learned = self.learned[group]
@@ -304,6 +339,7 @@
         dispatch = batch.out.pop(number)
         del engine.out[index, number]
         engine.enter(batch, -1)
+        self.threads -= batch.group.threads
         if batch.group.holds_set:
             engine.held_sets.discard(batch.data_set)
         self._report(engine, report)
@@ -350,7 +386,7 @@
             per = engine.cores if self.load_field == "held" else 1
             engine.hear_load(self.now, told[self.load_field] / per)
         if told.get("waiting", 0) > 0.5:
-            engine.cut(self.now)
+            engine.window.cut(self.now)
 
     def _returned(self, engine: Engine, dispatch: Dispatch, latency: int, work_us: int, memory_mb: float):
         batch, learned, load = dispatch.batch, dispatch.batch.learned, dispatch.load
@@ -360,17 +396,14 @@
         stretch = learned.returned(batch, latency, work_us, memory_mb)
         scaled = latency / learned.latency
         engine.line.add(self.now, 1, load, scaled, load * load, load * scaled)
-        engine.stretch += 0.15 * (stretch - engine.stretch)
-        if engine.stretch > CROWDED:
-            engine.cut(self.now)
-        elif engine.pressed:
-            spare, engine.pressed = 1 - engine.stretch / CROWDED, False
-            engine.window = min(WIDEST, engine.window + 0.1 * spare)
+        engine.window.learn(self.now, stretch, WIDEST)
+        self.window.learn(self.now, stretch, WIDEST * len(self.engines))
 
     def _blame(self, engine: Engine, outcome: str) -> None:
         """By symptom: quick errors, lost connections. None is a latency sample, so none looks cheap."""
-        if outcome == names.FULL:
-            engine.cut(self.now)
+        if outcome in (names.FULL, names.TIMED_OUT):
+            engine.window.cut(self.now)
+            self.window.cut(self.now)
         if outcome in (names.ERRORED, names.RESET, names.FULL):
             engine.answers.add(self.now, 1, 1)
             bad, heard = engine.answers.sums(self.now)
@@ -492,14 +525,14 @@
             return False
         threads = (engine.threads + group.threads) / (engine.cores * THREADS_PER_CORE)
         memory = (engine.memory + batch.memory) / engine.memory_mb if engine.memory_mb else 0.0
-        fits = not engine.out or max(threads, memory) <= engine.window
-        engine.pressed = engine.pressed or not fits
-        return fits
+        return engine.window.fits(max(threads, memory), not engine.out)
 
     def _choose(self, batch: Batch) -> Engine | None:
         def standing(engine: Engine) -> float:
             return engine.credit + 0.5 * (batch.data_set in engine.warm) - 100 * (engine.index in batch.tried)
 
+        if not self.window.fits((self.threads + batch.group.threads) / self.engine_threads, not self.threads):
+            return None
         fits = (each for each in self.engines.values() if self._room(batch, each) and self._gate(batch, each))
         return max(fits, key=standing, default=None)
 
@@ -522,6 +555,7 @@
         dispatch = Dispatch(batch, engine, self.now)
         batch.out[batch.sends] = engine.out[batch.index, batch.sends] = dispatch
         engine.enter(batch, 1)
+        self.threads += batch.group.threads
         if batch.sends:
             self.budget.spent.add(self.now, 1)
         if engine.index in self.cold.sent:
