--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -20,6 +20,7 @@
 BAD_PLAN = 3.5  # times the expected run: estimates scatter by less, bad plans by more
 REFERENCE_LOAD = 0.85  # the rules' capacity is the rate at which this share of the cores is busy
 LOADS = ("held", "utilisation", "disks", "memory")
+ASKS = 0.25  # probes a batch taken
 SKIPS = 24  # held batches looked past in a round: bounds the work when the first ones have nowhere to go
 
 
@@ -259,7 +260,8 @@
         self.engines: dict[int, Engine] = {}
         self.batches: dict[int, Batch] = {}
         self.ready, self.later, self.mean_work, self.solved_at, self.wake_at = [], [], 1.0, 0, 0
-        self.window, self.threads, self.engine_threads = None, 0, 1.0
+        self.asks, self.asked = 0.0, next(self.counter)
+        self.window, self.threads, self.engine_threads = Window(inf, 0), 0, 1.0
 
     def _live(self) -> list[Engine]:
         return [engine for engine in self.engines.values() if engine.state == names.READY]
@@ -315,8 +317,10 @@
                 engine.cold_until = max(engine.cold_until, started + self.cold.cold_us)
         self.solved_at = 0
         live = self._live()
-        self.engine_threads = THREADS_PER_CORE * sum(each.cores for each in live) / max(1, len(live))
-        self.window = self.window or Window(1.2 * len(live) / self.gateways, self.now)
+        self.asked = int(len(live) * self.chance(form))
+        self.engine_threads = THREADS_PER_CORE * sum(each.cores for each in live) / len(live) if live else 1.0
+        if self.window.width == inf and live:
+            self.window.width = 1.2 * len(live) / self.gateways
 
     def batch(self, index, group, customer, key, left_us, work_us, memory_mb, data_set, repeat) -> None:
         learned = self.learned[group]
@@ -324,6 +328,7 @@
         batch = self.batches[index] = Batch(index, learned, self.now, left_us, work_us, memory_mb)
         batch.data_set = data_set
         self.budget.taken.add(self.now, 1)
+        self.asks += ASKS
         if batch.group.in_order and key is not None:
             batch.key = key
             self.keys.lines.setdefault(key, deque()).append(batch)
@@ -442,8 +447,12 @@
         for engine in live:
             if self.load_field is None:
                 engine.hear_load(self.now, len(engine.out) / engine.cores)
-            if self.probes:
-                self.out.probe(engine.index)
+        # Probes are priced by the batch: a gateway with little traffic asks little, each engine in turn.
+        for _ in range(min(len(live), int(self.asks)) if self.probes else 0):
+            self.asks -= 1
+            self.asked += 1
+            self.out.probe(live[self.asked % len(live)].index)
+        self.asks = min(self.asks, len(live))
         sums = [engine.line.sums(self.now) for engine in live]
         pooled = [sum(column) for column in zip(*sums)]
         heard = [engine.load for engine in live if engine.reported]
