Small batches pass the fleet window at priority 3; the window closes at half the stretch

Cause: lookups waited for room behind reports that fill a thin gateway's window, and at priority 2 ran beside them.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -402,7 +402,7 @@
         scaled = latency / learned.latency
         engine.line.add(self.now, 1, load, scaled, load * load, load * scaled)
         engine.window.learn(self.now, stretch, WIDEST)
-        self.window.learn(self.now, stretch, WIDEST * len(self.engines))
+        self.window.learn(self.now, (2.0 if work_us else 1) * stretch, WIDEST * len(self.engines))
 
     def _blame(self, engine: Engine, outcome: str) -> None:
         """By symptom: quick errors, lost connections. None is a latency sample, so none looks cheap."""
@@ -540,7 +540,8 @@
         def standing(engine: Engine) -> float:
             return engine.credit + 0.5 * (batch.data_set in engine.warm) - 100 * (engine.index in batch.tried)
 
-        if not self.window.fits((self.threads + batch.group.threads) / self.engine_threads, not self.threads):
+        small = self._small(batch)
+        if not self.window.fits((self.threads + batch.group.threads) / self.engine_threads, small or not self.threads):
             return None
         fits = (each for each in self.engines.values() if self._room(batch, each) and self._gate(batch, each))
         return max(fits, key=standing, default=None)
@@ -588,12 +589,13 @@
             engine.credit = min(5.0, engine.credit + engine.share * size)
         chosen.credit = max(-10.0, chosen.credit - size)
 
+    def _small(self, batch: Batch) -> bool:
+        return batch.work < 3 * min(each.usual for each in self.learned)
+
     def _priority(self, batch: Batch) -> int:
         """A load frees its data set; small batches go first if they bring the most or clearly fare worst."""
-        dearest, mine = max(each.group.utility / each.usual for each in self.learned), batch.learned
+        dearest = max(each.group.utility / each.usual for each in self.learned)
         value = batch.group.utility / batch.work / dearest
-        most = 2 * mine.asked > sum(each.asked for each in self.learned)
-        worst = mine.met < 0.9 * max(each.met for each in self.learned)
-        if batch.group.holds_set or (value > 0.5 and (most or worst)):
+        if batch.group.holds_set or self._small(batch):
             return 3
         return 2 if value > 0.2 else 1 if value > 0.05 else 0
