Fleet window never under an equal part of all engines, below one batch by debt in time

Cause: one report is more than a thin gateway's part, so one at a time was still too much for all together; and a floor of a part of one engine shut the few large gateways.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -114,12 +114,13 @@
     """Own threads or memory out at once, in parts of an engine: opens while batches are kept out and answers
     run little longer than alone, closes while they crowd."""
 
-    def __init__(self, width: float, now: int) -> None:
-        self.width, self.stretch, self.cut_at, self.pressed = width, 1.0, now, False
+    def __init__(self, width: float, narrowest: float, now: int) -> None:
+        self.width, self.narrowest = width, narrowest
+        self.stretch, self.cut_at, self.pressed = 1.0, now, False
 
     def cut(self, now: int) -> None:
         if now - self.cut_at >= PERIOD_US:
-            self.cut_at, self.width = now, max(NARROWEST, 0.85 * self.width)
+            self.cut_at, self.width = now, max(self.narrowest, 0.85 * self.width)
 
     def learn(self, now: int, stretch: float, widest: float) -> None:
         self.stretch += 0.15 * (stretch - self.stretch)
@@ -143,7 +144,7 @@
 
 class Engine:
     def __init__(self, index: int, width: float, credit: float, now: int) -> None:
-        self.index, self.window, self.credit, self.share = index, Window(width, now), credit, 0.0
+        self.index, self.window, self.credit, self.share = index, Window(width, NARROWEST, now), credit, 0.0
         self.state, self.cold_until, self.load, self.load_at, self.reported = names.GONE, 0, 0.0, 0, False
         self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(3 * PERIOD_US, 6, 2)
         self.out: dict[tuple[int, int], Dispatch] = {}
@@ -261,7 +262,8 @@
         self.batches: dict[int, Batch] = {}
         self.ready, self.later, self.mean_work, self.solved_at, self.wake_at = [], [], 1.0, 0, 0
         self.asks, self.asked = 0.0, next(self.counter)
-        self.window, self.threads, self.engine_threads = Window(inf, 0), 0, 1.0
+        self.window, self.threads, self.engine_threads = Window(0.0, 0.0, 0), 0, 1.0
+        self.debt, self.debt_at = 0.0, 0
 
     def _live(self) -> list[Engine]:
         return [engine for engine in self.engines.values() if engine.state == names.READY]
@@ -273,6 +275,9 @@
         self.now, self.out = now_us, writer
         if self.cold is None:
             self.cold = ColdGuard(*self.cold_settings, self.gateways, now_us)
+        over = self.threads / self.engine_threads - self.window.width
+        self.debt = min(2e6 * self.window.width, max(0.0, self.debt + over * (now_us - self.debt_at)))
+        self.debt_at = now_us
         for name, *fields in events:
             getattr(self, name)(*fields)
         if now_us - self.solved_at >= PERIOD_US and self.batches:
@@ -319,8 +324,9 @@
         live = self._live()
         self.asked = int(len(live) * self.chance(form))
         self.engine_threads = THREADS_PER_CORE * sum(each.cores for each in live) / len(live) if live else 1.0
-        if self.window.width == inf and live:
-            self.window.width = 1.2 * len(live) / self.gateways
+        if live and not self.window.width:
+            fair = len(live) / self.gateways
+            self.window = Window(1.2 * fair, 1.0 * fair, self.now)
 
     def batch(self, index, group, customer, key, left_us, work_us, memory_mb, data_set, repeat) -> None:
         learned = self.learned[group]
@@ -541,7 +547,7 @@
             return engine.credit + 0.5 * (batch.data_set in engine.warm) - 100 * (engine.index in batch.tried)
 
         small = self._small(batch)
-        if not self.window.fits((self.threads + batch.group.threads) / self.engine_threads, small or not self.threads):
+        if not self.window.fits((self.threads + batch.group.threads) / self.engine_threads, small or not (self.threads or self.debt)):
             return None
         fits = (each for each in self.engines.values() if self._room(batch, each) and self._gate(batch, each))
         return max(fits, key=standing, default=None)
