Small batches have a fleet window of their own, closing only when they run long themselves

Also covers any flood of small batches; harms where small ones run long for a reason of their own, such as data sets held by loads.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -263,6 +263,7 @@
         self.ready, self.later, self.mean_work, self.solved_at, self.wake_at = [], [], 1.0, 0, 0
         self.asks, self.asked = 0.0, next(self.counter)
         self.window, self.threads, self.engine_threads = Window(0.0, 0.0, 0), 0, 1.0
+        self.small_window, self.small_threads = self.window, 0
         self.debt, self.debt_at = 0.0, 0
 
     def _live(self) -> list[Engine]:
@@ -327,6 +328,7 @@
         if live and not self.window.width:
             fair = len(live) / self.gateways
             self.window = Window(1.2 * fair, 1.0 * fair, self.now)
+            self.small_window = Window(4.0 * fair, 0.3 * fair, self.now)
 
     def batch(self, index, group, customer, key, left_us, work_us, memory_mb, data_set, repeat) -> None:
         learned = self.learned[group]
@@ -351,13 +353,14 @@
         del engine.out[index, number]
         engine.enter(batch, -1)
         self.threads -= batch.group.threads
+        self.small_threads -= batch.small
         if batch.group.holds_set:
             engine.held_sets.discard(batch.data_set)
         self._report(engine, report)
         if outcome == names.RETURNED:
             self._returned(engine, dispatch, latency, work_us, memory_mb)
         else:
-            self._blame(engine, outcome)
+            self._blame(engine, batch, outcome)
         if outcome not in names.NEVER_RAN and batch.ran_since is None:
             batch.ran_since, batch.ran_at = dispatch.sent, engine
         if outcome in (names.TIMED_OUT, names.RESET, names.CANCELLED) and batch.key is not None:
@@ -408,13 +411,15 @@
         scaled = latency / learned.latency
         engine.line.add(self.now, 1, load, scaled, load * load, load * scaled)
         engine.window.learn(self.now, stretch, WIDEST)
+        if batch.small:
+            self.small_window.learn(self.now, 0.5 * stretch, WIDEST * len(self.engines))
         self.window.learn(self.now, (2.0 if work_us else 1) * stretch, WIDEST * len(self.engines))
 
-    def _blame(self, engine: Engine, outcome: str) -> None:
+    def _blame(self, engine: Engine, batch: Batch, outcome: str) -> None:
         """By symptom: quick errors, lost connections. None is a latency sample, so none looks cheap."""
         if outcome in (names.FULL, names.TIMED_OUT):
             engine.window.cut(self.now)
-            self.window.cut(self.now)
+            (self.small_window if batch.small else self.window).cut(self.now)
         if outcome in (names.ERRORED, names.RESET, names.FULL):
             engine.answers.add(self.now, 1, 1)
             bad, heard = engine.answers.sums(self.now)
@@ -547,7 +552,9 @@
             return engine.credit + 0.5 * (batch.data_set in engine.warm) - 100 * (engine.index in batch.tried)
 
         small = self._small(batch)
-        if not self.window.fits((self.threads + batch.group.threads) / self.engine_threads, small or not (self.threads or self.debt)):
+        out = self.small_threads if small else self.threads
+        free = not out and (small or not self.debt)
+        if not (self.small_window if small else self.window).fits((out + batch.group.threads) / self.engine_threads, free):
             return None
         fits = (each for each in self.engines.values() if self._room(batch, each) and self._gate(batch, each))
         return max(fits, key=standing, default=None)
@@ -572,6 +579,8 @@
         batch.out[batch.sends] = engine.out[batch.index, batch.sends] = dispatch
         engine.enter(batch, 1)
         self.threads += batch.group.threads
+        batch.small = batch.group.threads if self._small(batch) else 0
+        self.small_threads += batch.small
         if batch.sends:
             self.budget.spent.add(self.now, 1)
         if engine.index in self.cold.sent:
