--- a/pathturn/adapter/settings.py
+++ b/pathturn/adapter/settings.py
@@ -68,5 +68,6 @@
               rules.get("fallUs") or 0),
         key_rest_us=rules.get("keyQuietUs") or 0,
         budget=budget,
+        costs=bool(domain.get("costInAnswers")),
     )
     return gateway, {entry["name"]: index for index, entry in enumerate(entries)}
--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -17,6 +17,7 @@
 THREADS_PER_CORE = 1.3  # more than one, since threads wait for disks; engines thrash soon beyond
 CROWDED = 1.9  # latency over work: above it an engine's cores, disks or memory are overcommitted
 WIDEST, NARROWEST = 1.6, 0.15
+SMALL, DEBT_US = 3.0, 2_000_000  # small: under so many times what is usual in the group of least work
 BAD_PLAN = 3.5  # times the expected run: estimates scatter by less, bad plans by more
 REFERENCE_LOAD = 0.85  # the rules' capacity is the rate at which this share of the cores is busy
 LOADS = ("held", "utilisation", "disks", "memory")
@@ -51,11 +52,7 @@
         self.bias, self.memory_bias, self.grant = 1.0, 1.0, 2.0
         # Where engines page, a grant beyond the need takes nothing from others; elsewhere it does.
         self.pages, self.spills = pages, 0.02 if pages else 0.15
-        self.pace, self.latency, self.seen, self.asked, self.met = 1.5, 0.0, 0, 0.0, 1.0
-
-    def estimate(self, work_us: int) -> None:
-        self.asked += self.group.utility
-        self.usual += (work_us * self.bias - self.usual) / min(self.seen + 5, 200) if work_us else 0
+        self.pace, self.latency, self.seen = 1.5, 0.0, 0
 
     def returned(self, batch: "Batch", latency: int, work_us: int, memory_mb: float) -> float:
         """Takes a sample, and tells by how much the batch ran longer than it would have alone."""
@@ -85,19 +82,17 @@
         self.solo = self.work / self.group.threads
         # Counted from this try: a short time left may be a late try, but also a client that waits less.
         self.goal = now + self.group.goal_us + int(self.group.goal_stretch * self.solo)
-        self.sends, self.kills, self.tried, self.over, self.met, self.out = 0, 0, set(), False, False, {}
+        self.sends, self.kills, self.tried, self.over, self.small, self.out = 0, 0, set(), False, False, {}
         self.ran_since, self.ran_at, self.key, self.data_set, self.spilt = None, None, None, None, False
 
     def may_resend(self, now: int) -> bool:
-        if self.ran_since is None or self.group.kind == names.REPEATABLE:
-            return True
-        return self.group.kind == names.REFERENCED and now - self.ran_since < 0.95 * self.group.repeat_span_us
+        return self.ran_since is None or self.group.kind == names.REPEATABLE or (
+            self.group.kind == names.REFERENCED and now - self.ran_since < 0.95 * self.group.repeat_span_us)
 
     def harmless(self) -> bool:
         """Whether a pushback would tell the truth: trying again cannot have a second effect."""
-        if self.group.kind == names.REPEATABLE or (self.ran_since is None and not self.out):
-            return True
-        return self.group.kind == names.REFERENCED and self.group.repeat_scope == "all"
+        dropped = self.group.kind == names.REFERENCED and self.group.repeat_scope == "all"
+        return dropped or self.group.kind == names.REPEATABLE or (self.ran_since is None and not self.out)
 
     def allowed(self, engine: "Engine") -> bool:
         """Placement, and for a referenced batch that may have run the engines that drop its repeat."""
@@ -105,46 +100,46 @@
         if ((group.zones is not None and engine.zone not in group.zones)
                 or (group.machines is not None and engine.machine not in group.machines)):
             return False
-        if first is None or group.kind == names.REPEATABLE or group.repeat_scope == "all":
-            return True
-        return engine.zone == first.zone if group.repeat_scope == "zone" else engine.cell == first.cell
+        anywhere = first is None or group.kind == names.REPEATABLE or group.repeat_scope == "all"
+        return anywhere or (
+            engine.zone == first.zone if group.repeat_scope == "zone" else engine.cell == first.cell)
 
 
 class Window:
     """Own threads or memory out at once, in parts of an engine: opens while batches are kept out and answers
     run little longer than alone, closes while they crowd."""
 
-    def __init__(self, width: float, narrowest: float, now: int) -> None:
-        self.width, self.narrowest = width, narrowest
+    def __init__(self, width: float, narrowest: float, widest: float, now: int, weight: float = 1.0) -> None:
+        self.width, self.narrowest, self.widest, self.weight = width, narrowest, widest, weight
         self.stretch, self.cut_at, self.pressed = 1.0, now, False
 
     def cut(self, now: int) -> None:
         if now - self.cut_at >= PERIOD_US:
             self.cut_at, self.width = now, max(self.narrowest, 0.85 * self.width)
 
-    def learn(self, now: int, stretch: float, widest: float) -> None:
-        self.stretch += 0.15 * (stretch - self.stretch)
+    def learn(self, now: int, stretch: float) -> None:
+        self.stretch += 0.15 * (self.weight * stretch - self.stretch)
         if self.stretch > CROWDED:
             self.cut(now)
         elif self.pressed:
             spare, self.pressed = 1 - self.stretch / CROWDED, False
-            self.width = min(widest, self.width + 0.1 * spare)
+            self.width = min(self.widest, self.width + 0.1 * spare)
 
     def fits(self, wanted: float, free: bool) -> bool:
         """Whether that much may be out; what is free may always take one."""
-        fits = free or wanted <= self.width
-        self.pressed = self.pressed or not fits
-        return fits
+        self.pressed = self.pressed or not (free or wanted <= self.width)
+        return free or wanted <= self.width
 
 
 class Dispatch:
     def __init__(self, batch: Batch, engine: "Engine", now: int) -> None:
-        self.batch, self.number, self.sent, self.load = batch, batch.sends, now, engine.load
+        self.batch, self.sent, self.load = batch, now, engine.load
 
 
 class Engine:
     def __init__(self, index: int, width: float, credit: float, now: int) -> None:
-        self.index, self.window, self.credit, self.share = index, Window(width, NARROWEST, now), credit, 0.0
+        self.index, self.credit, self.share = index, credit, 0.0
+        self.window = Window(width, NARROWEST, WIDEST, now)
         self.state, self.cold_until, self.load, self.load_at, self.reported = names.GONE, 0, 0.0, 0, False
         self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(3 * PERIOD_US, 6, 2)
         self.out: dict[tuple[int, int], Dispatch] = {}
@@ -244,27 +239,27 @@
 class Gateway:
     def __init__(self, *, seed, instance, gateways, groups, cores, memory_mb, grants, pages, priorities,
                  note_us, report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us,
-                 cold, key_rest_us, budget) -> None:
+                 cold, key_rest_us, budget, costs) -> None:
         if not groups:
             raise ValueError("settings name no service group")
         self.seed, self.instance, self.counter = seed, instance, count()
         self.learned = [Learned(group, pages or not grants) for group in groups]
         self.cores, self.memory_mb, self.gateways = cores, memory_mb, max(1, gateways)
-        self.grants, self.priorities, self.note_us = grants, priorities, note_us
+        self.grants, self.priorities, self.note_us, self.costs = grants, priorities, note_us, costs
         # Of utilisations, cores before disks before memory: the design's order, carried on where it ends.
         self.load_field = next((field for field in LOADS if field in report_fields), None)
         self.fields, self.probes, self.step_us = report_fields, probes, step_us
-        self.ask_at = 0 if ask_list else None
+        self.ask_at = 0 if ask_list else inf
         self.max_dispatches, self.may_cancel, self.retry_us = max_dispatches, may_cancel, retry_us
         self.budget, self.cold_settings = Budget(*(budget or (inf, 0.0, PERIOD_US))), cold
         self.keys, self.cold = KeyLines(key_rest_us), None
         self.engines: dict[int, Engine] = {}
         self.batches: dict[int, Batch] = {}
         self.ready, self.later, self.mean_work, self.solved_at, self.wake_at = [], [], 1.0, 0, 0
-        self.asks, self.asked = 0.0, next(self.counter)
-        self.window, self.threads, self.engine_threads = Window(0.0, 0.0, 0), 0, 1.0
-        self.small_window, self.small_threads = self.window, 0
-        self.debt, self.debt_at = 0.0, 0
+        self.asks, self.asked = 0.0, seed
+        # Over the whole fleet: for all batches, and for small ones by themselves.
+        self.fleet, self.threads, self.engine_threads = (), [0, 0], 1.0
+        self.debt, self.debt_at, self.dispatches = 0.0, 0, 0
 
     def _live(self) -> list[Engine]:
         return [engine for engine in self.engines.values() if engine.state == names.READY]
@@ -276,31 +271,36 @@
         self.now, self.out = now_us, writer
         if self.cold is None:
             self.cold = ColdGuard(*self.cold_settings, self.gateways, now_us)
-        over = self.threads / self.engine_threads - self.window.width
-        self.debt = min(2e6 * self.window.width, max(0.0, self.debt + over * (now_us - self.debt_at)))
-        self.debt_at = now_us
+        if self.fleet:
+            self._owe(self.fleet[0].width)
         for name, *fields in events:
             getattr(self, name)(*fields)
-        if now_us - self.solved_at >= PERIOD_US and self.batches:
+        if now_us - self.solved_at >= PERIOD_US and self.batches and self.fleet and self._live():
             self._solve()
-        if self.ask_at is not None and now_us >= self.ask_at:
-            self.ask_at = None
+        if now_us >= self.ask_at:
+            self.ask_at = inf
             writer.subscribe(True)
-        busy = [each for each in self.engines.values() if each.out]
-        for engine in busy:
+        for engine in (busy := [each for each in self.engines.values() if each.out]):
             self._silent(engine)
         while self.later and self.later[0][0] <= now_us:
             self._review(heapq.heappop(self.later)[2])
         self._pump()
         self._sleep(bool(busy))
 
+    def _owe(self, width: float) -> None:
+        """One large batch may be more than this gateway's part of the fleet: what it has out over its window
+        adds up to a debt, and none follows until that is paid off. Harm: engines idle while it waits."""
+        over = sum(self.threads) / self.engine_threads - width
+        self.debt = min(DEBT_US * width, max(0.0, self.debt + over * (self.now - self.debt_at)))
+        self.debt_at = self.now
+
     def wake(self, tag: int) -> None:
         pass
 
     def _sleep(self, busy: bool) -> None:
         """Asks for the next round only where one is needed: most gateways have little traffic."""
-        due = min(self.later[0][0] if self.later else inf, self.ask_at or inf)
-        due = min(due, self.now + TICK_US * (1 if self.ready else 4 if busy else inf))
+        poll = self.now + TICK_US * (1 if self.ready else 4 if busy else inf)
+        due = min(self.later[0][0] if self.later else inf, self.ask_at, poll)
         if due < inf and not self.now < self.wake_at <= due:
             self.wake_at = max(due, self.now + self.step_us)
             self.out.wake(self.wake_at - self.now, 0)
@@ -323,18 +323,20 @@
                 engine.cold_until = max(engine.cold_until, started + self.cold.cold_us)
         self.solved_at = 0
         live = self._live()
-        self.asked = int(len(live) * self.chance(form))
         self.engine_threads = THREADS_PER_CORE * sum(each.cores for each in live) / len(live) if live else 1.0
-        if live and not self.window.width:
-            fair = len(live) / self.gateways
-            self.window = Window(1.2 * fair, 1.0 * fair, self.now)
-            self.small_window = Window(4.0 * fair, 0.3 * fair, self.now)
+        if live and not self.fleet:
+            fair, widest = len(live) / self.gateways, WIDEST * len(live)
+            # A thin gateway hears too little to tell a crowd: where costs are told, its part is all it takes.
+            self.fleet = (Window(1.2 * fair, fair, widest, self.now, 2.0 if self.costs else 1.0),
+                          Window(4.0 * fair, 0.3 * fair, widest, self.now, 0.5))
 
     def batch(self, index, group, customer, key, left_us, work_us, memory_mb, data_set, repeat) -> None:
         learned = self.learned[group]
-        learned.estimate(work_us)
+        if work_us:
+            learned.usual += (work_us * learned.bias - learned.usual) / min(learned.seen + 5, 200)
         batch = self.batches[index] = Batch(index, learned, self.now, left_us, work_us, memory_mb)
         batch.data_set = data_set
+        batch.small = batch.work < SMALL * min(each.usual for each in self.learned)
         self.budget.taken.add(self.now, 1)
         self.asks += ASKS
         if batch.group.in_order and key is not None:
@@ -352,8 +354,7 @@
         dispatch = batch.out.pop(number)
         del engine.out[index, number]
         engine.enter(batch, -1)
-        self.threads -= batch.group.threads
-        self.small_threads -= batch.small
+        self.threads[batch.small] -= batch.group.threads
         if batch.group.holds_set:
             engine.held_sets.discard(batch.data_set)
         self._report(engine, report)
@@ -366,10 +367,7 @@
         if outcome in (names.TIMED_OUT, names.RESET, names.CANCELLED) and batch.key is not None:
             self.keys.resting[batch.key] = self.now + self.keys.rest_us
         batch.over = batch.over or complete
-        if batch.over:
-            self._forget(batch)
-        else:
-            self._review(batch)
+        (self._forget if batch.over else self._review)(batch)
 
     def note(self, index, engine, sort, level, number) -> None:
         self.engines[engine].heard = self.now
@@ -404,22 +402,20 @@
 
     def _returned(self, engine: Engine, dispatch: Dispatch, latency: int, work_us: int, memory_mb: float):
         batch, learned, load = dispatch.batch, dispatch.batch.learned, dispatch.load
-        engine.heard, batch.met = self.now, self.now <= batch.goal
+        engine.heard = self.now
         engine.answers.add(self.now, 0, 1)
         engine.trial = max(0, engine.trial - 1)
         stretch = learned.returned(batch, latency, work_us, memory_mb)
         scaled = latency / learned.latency
         engine.line.add(self.now, 1, load, scaled, load * load, load * scaled)
-        engine.window.learn(self.now, stretch, WIDEST)
-        if batch.small:
-            self.small_window.learn(self.now, 0.5 * stretch, WIDEST * len(self.engines))
-        self.window.learn(self.now, (2.0 if work_us else 1) * stretch, WIDEST * len(self.engines))
+        for window in (engine.window, *self.fleet[:1 + batch.small]):
+            window.learn(self.now, stretch)
 
     def _blame(self, engine: Engine, batch: Batch, outcome: str) -> None:
         """By symptom: quick errors, lost connections. None is a latency sample, so none looks cheap."""
         if outcome in (names.FULL, names.TIMED_OUT):
             engine.window.cut(self.now)
-            (self.small_window if batch.small else self.window).cut(self.now)
+            self.fleet[batch.small].cut(self.now)
         if outcome in (names.ERRORED, names.RESET, names.FULL):
             engine.answers.add(self.now, 1, 1)
             bad, heard = engine.answers.sums(self.now)
@@ -446,18 +442,14 @@
             return
         self._shut(engine)
         engine.heard = self.now
-        if engine.shut_until > self.now and self.may_cancel:
-            for dispatch in engine.out.values():
-                if dispatch.batch.group.kind != names.ONCE_ONLY and not dispatch.batch.over:
-                    self.out.cancel(dispatch.batch.index, dispatch.number)
+        for (index, number), dispatch in engine.out.items() if engine.shut_until > self.now else ():
+            if self.may_cancel and dispatch.batch.group.kind != names.ONCE_ONLY and not dispatch.batch.over:
+                self.out.cancel(index, number)
 
     def _solve(self) -> None:
         live, self.solved_at = self._live(), self.now
-        if not live:
-            return
-        for engine in live:
-            if self.load_field is None:
-                engine.hear_load(self.now, len(engine.out) / engine.cores)
+        for engine in live if self.load_field is None else ():
+            engine.hear_load(self.now, len(engine.out) / engine.cores)
         # Probes are priced by the batch: a gateway with little traffic asks little, each engine in turn.
         for _ in range(min(len(live), int(self.asks)) if self.probes else 0):
             self.asks -= 1
@@ -476,18 +468,16 @@
             engine.share = share
 
     def _hold(self, batch: Batch) -> None:
-        if (opens := self.keys.open_at(batch)) is None:
-            return
         late = self.now + batch.solo > batch.goal
         worth = (batch.group.late_utility if late else 1.0) * batch.group.utility / batch.work
-        queue, rank = (self.later, opens) if opens > self.now else (self.ready, -worth)
-        heapq.heappush(queue, (rank, next(self.counter), batch))
+        if (opens := self.keys.open_at(batch)) is not None:
+            queue, rank = (self.later, opens) if opens > self.now else (self.ready, -worth)
+            heapq.heappush(queue, (rank, next(self.counter), batch))
 
     def _hopeless(self, batch: Batch) -> bool:
         """No use left in waiting: nothing to earn, no time, or no further dispatch allowed."""
         soonest = self.now + 0.5 * batch.solo  # estimates scatter: half the estimated run may be all of it
-        last = batch.deadline - 2 * TICK_US
-        last = last if batch.group.late_utility else min(last, batch.goal)
+        last = min(batch.deadline - 2 * TICK_US, inf if batch.group.late_utility else batch.goal)
         return soonest > last or batch.sends >= self.max_dispatches or not batch.may_resend(self.now)
 
     def _thin(self, key: str) -> None:
@@ -523,7 +513,6 @@
     def _forget(self, batch: Batch) -> None:
         if batch.out or self.batches.pop(batch.index, None) is None:
             return
-        batch.learned.met += 0.02 * (batch.met - batch.learned.met)
         if batch.key is not None and (following := self.keys.leave(batch)):
             self._review(following)
 
@@ -551,10 +540,9 @@
         def standing(engine: Engine) -> float:
             return engine.credit + 0.5 * (batch.data_set in engine.warm) - 100 * (engine.index in batch.tried)
 
-        small = self._small(batch)
-        out = self.small_threads if small else self.threads
-        free = not out and (small or not self.debt)
-        if not (self.small_window if small else self.window).fits((out + batch.group.threads) / self.engine_threads, free):
+        out = self.threads[1] if batch.small else sum(self.threads)
+        wanted, free = (out + batch.group.threads) / self.engine_threads, batch.small or not self.debt
+        if not self.fleet or not self.fleet[batch.small].fits(wanted, free and not out):
             return None
         fits = (each for each in self.engines.values() if self._room(batch, each) and self._gate(batch, each))
         return max(fits, key=standing, default=None)
@@ -575,12 +563,9 @@
             heapq.heappush(self.ready, entry)
 
     def _send(self, batch: Batch, engine: Engine) -> None:
-        dispatch = Dispatch(batch, engine, self.now)
-        batch.out[batch.sends] = engine.out[batch.index, batch.sends] = dispatch
+        batch.out[batch.sends] = engine.out[batch.index, batch.sends] = Dispatch(batch, engine, self.now)
         engine.enter(batch, 1)
-        self.threads += batch.group.threads
-        batch.small = batch.group.threads if self._small(batch) else 0
-        self.small_threads += batch.small
+        self.threads[batch.small] += batch.group.threads
         if batch.sends:
             self.budget.spent.add(self.now, 1)
         if engine.index in self.cold.sent:
@@ -598,19 +583,17 @@
 
     def _debit(self, chosen: Engine, work: float) -> None:
         """Weighted round robin in units of usual work: follows the solved rates with little variance."""
-        self.mean_work += 0.02 * (work - self.mean_work)
+        self.dispatches += 1
+        self.mean_work += max(0.02, 1 / self.dispatches) * (work - self.mean_work)
         size = min(10.0, work / self.mean_work)
         for engine in self._live():
             engine.credit = min(5.0, engine.credit + engine.share * size)
         chosen.credit = max(-10.0, chosen.credit - size)
 
-    def _small(self, batch: Batch) -> bool:
-        return batch.work < 3 * min(each.usual for each in self.learned)
-
     def _priority(self, batch: Batch) -> int:
-        """A load frees its data set; small batches go first if they bring the most or clearly fare worst."""
+        """A load frees its data set; small batches take little from others and are late soonest."""
         dearest = max(each.group.utility / each.usual for each in self.learned)
         value = batch.group.utility / batch.work / dearest
-        if batch.group.holds_set or self._small(batch):
+        if batch.group.holds_set or batch.small:
             return 3
         return 2 if value > 0.2 else 1 if value > 0.05 else 0
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -19,7 +19,7 @@
             "seed": 7, "instance": 0, "gateways": 1, "cores": {"m": 8, "n": 8}, "memory_mb": {},
             "grants": False, "pages": False, "priorities": False, "note_us": 0, "report_fields": [],
             "probes": False, "ask_list": False, "max_dispatches": 4, "may_cancel": True, "retry_us": 0,
-            "step_us": 1000, "cold": (1.0, 0, 0.0, 0), "key_rest_us": 0, "budget": None}
+            "step_us": 1000, "cold": (1.0, 0, 0.0, 0), "key_rest_us": 0, "budget": None, "costs": False}
         self.gateway, self.now = None, 0
         self.flying, self.sent, self.groups, self.batches, self.calls = {}, {}, [], [], []
 
@@ -75,8 +75,8 @@
         return [call[0] for call in finals if call[1] == self.number(name)]
 
     def set(self, word, *values):
-        parsed = [float(value) if "." in value else int(value) for value in values]
-        self.settings[word] = tuple(parsed) if len(parsed) > 1 else parsed[0]
+        parsed = [float(value) if "." in value else int(value) for value in values if not value.isalpha()]
+        self.settings[word] = values if not parsed else tuple(parsed) if len(parsed) > 1 else parsed[0]
 
     def group(self, kind, **told):
         told = {key: frozenset(value.split(",")) if key in ("zones", "machines") else
@@ -134,6 +134,9 @@
         told = [call[2] for call in self.calls if call[:2] == ("terms", self.number(name))]
         assert told[-1:] == [int(level)], f"{name} went out at {told}"
 
+    def probes(self, number):
+        assert sum(call[0] == "probe" for call in self.calls) == int(number)
+
     def cancelled(self, *batches):
         called = [self.batches[call[1]] for call in self.calls if call[0] == "cancel"]
         assert called == list(batches), f"cancelled {called}"
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -71,6 +71,7 @@
     second = line(1, ["POWER_OFF"], hello, ["ANNOUNCE", 2, 1, 0], ["ANSWER", 99, 0, 7, "ok", 5, True])
     sink = io.BytesIO()
     assert serve(io.BytesIO(first + second), sink) == 0
-    replies = [orjson.loads(reply)["groups"][0]["steps"] for reply in sink.getvalue().splitlines()]
+    replies = [[step for group in orjson.loads(reply)["groups"] for step in group["steps"]]
+               for reply in sink.getvalue().splitlines()]
     assert [step[:3] for step in replies[0] if step[0] == "RELAY"] == [["RELAY", 99, 7]]
     assert not [step for step in replies[1] if step[0] != "SCHEDULE"]
