--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -324,11 +324,13 @@
         self.solved_at = 0
         live = self._live()
         self.engine_threads = THREADS_PER_CORE * sum(each.cores for each in live) / len(live) if live else 1.0
+        fair = len(live) / self.gateways
         if live and not self.fleet:
-            fair, widest = len(live) / self.gateways, WIDEST * len(live)
             # A thin gateway hears too little to tell a crowd: where costs are told, its part is all it takes.
-            self.fleet = (Window(1.2 * fair, fair, widest, self.now, 2.0 if self.costs else 1.0),
-                          Window(4.0 * fair, 0.3 * fair, widest, self.now, 0.5))
+            self.fleet = (Window(1.2 * fair, 0.0, inf, self.now, 2.0 if self.costs else 1.0),
+                          Window(4.0 * fair, 0.0, inf, self.now, 0.5))
+        for window, least in zip(self.fleet, (fair, 0.3 * fair)):
+            window.narrowest, window.widest = least, WIDEST * len(live)
 
     def batch(self, index, group, customer, key, left_us, work_us, memory_mb, data_set, repeat) -> None:
         learned = self.learned[group]
