Cold engines take small batches by turns of the gateways

Cause: a gateway's part of the budget was less than one batch, so that a cold engine idled for its whole warm-up. Each gateway now has a turn of one window, told by the engine's start, with half the budget of all shared by the few whose turn it is: any window touches two turns at most.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -173,15 +173,21 @@
     """All gateways together must stay under the fall line, so each keeps to its part of the least capacity
     that a cold engine may have. What it sent before its own start it cannot know: it waits a window out."""
 
-    def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, now: int):
+    def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, now: int,
+                 number: int, least_work: float):
         self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
         self.from_us, self.sent = now + fall_us, defaultdict(lambda: Ring(fall_us, 10))
+        self.fall_us, self.number, self.least_work = fall_us, number, least_work
 
     def allows(self, now: int, engine: Engine, work: float) -> bool:
         if now >= engine.cold_until or not self.part:
             return True
+        mine, turn = self.part * engine.cores, (now - engine.cold_until + self.cold_us) // self.fall_us
+        turns = max(1, min(self.cold_us // self.fall_us, int(2 * self.least_work / mine)))
+        if turn % turns != self.number % turns:
+            return False
         spent = self.sent[engine.index].sums(now)[0]
-        return now >= self.from_us and spent + work <= self.part * engine.cores
+        return now >= self.from_us and spent + work <= mine * max(1, turns / 2)
 
 
 class KeyLines:
@@ -270,7 +276,8 @@
     def round(self, now_us: int, events: list[tuple], writer: names.Writer) -> None:
         self.now, self.out = now_us, writer
         if self.cold is None:
-            self.cold = ColdGuard(*self.cold_settings, self.gateways, now_us)
+            self.cold = ColdGuard(*self.cold_settings, self.gateways, now_us, self.instance,
+                                  min(each.usual for each in self.learned))
         if self.fleet:
             self._owe(self.fleet[0].width)
         for name, *fields in events:
