--- a/pathturn/adapter/settings.py
+++ b/pathturn/adapter/settings.py
@@ -52,7 +52,6 @@
         gateways=config.get("siblings", 1),
         groups=[_group(entry, index, domain) for index, entry in enumerate(entries)],
         cores=dict(zip(kinds, domain.get("coresByKind") or [])),
-        memory_mb=dict(zip(kinds, domain.get("ramOfKindMb") or [])),
         grants=bool(domain.get("takesGrants")),
         pages=domain.get("onShortage") == "page",
         priorities=bool(domain.get("priorities")),
--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -4,7 +4,7 @@
 """
 
 import heapq
-from collections import defaultdict, deque
+from collections import defaultdict, deque, namedtuple
 from itertools import count
 from math import exp, inf
 from zlib import crc32
@@ -22,6 +22,7 @@
 REFERENCE_LOAD = 0.85  # the rules' capacity is the rate at which this share of the cores is busy
 LOADS = ("held", "utilisation", "disks", "memory")
 ASKS = 0.25  # probes a batch taken
+Dispatch = namedtuple("Dispatch", "batch sent load")
 SKIPS = 24  # held batches looked past in a round: bounds the work when the first ones have nowhere to go
 
 
@@ -49,12 +50,12 @@
 class Learned:
     def __init__(self, group: names.ServiceGroup, pages: bool) -> None:
         self.group, self.usual = group, float(group.goal_us) * group.threads / 2
-        self.bias, self.memory_bias, self.grant = 1.0, 1.0, 2.0
+        self.bias, self.grant = 1.0, 2.0
         # Where engines page, a grant beyond the need takes nothing from others; elsewhere it does.
-        self.pages, self.spills = pages, 0.02 if pages else 0.15
+        self.spills = 0.02 if pages else 0.15
         self.pace, self.latency, self.seen = 1.5, 0.0, 0
 
-    def returned(self, batch: "Batch", latency: int, work_us: int, memory_mb: float) -> float:
+    def returned(self, batch: "Batch", latency: int, work_us: int) -> float:
         """Takes a sample, and tells by how much the batch ran longer than it would have alone."""
         self.seen += 1
         rate, threads = max(0.03, 1 / (self.seen + 4)), self.group.threads
@@ -64,8 +65,6 @@
         elif batch.hint:
             # Without a told cost the median latency stands for the work: means follow bad plans and crowds.
             self.bias *= exp(rate * (-0.5 if latency * threads / batch.hint < self.bias else 0.5))
-        if memory_mb and batch.memory_hint:
-            self.memory_bias += rate * (min(4.0, max(0.2, memory_mb / batch.memory_hint)) - self.memory_bias)
         # The grant settles where the wanted share of dispatches spills: known even where no need is told.
         self.grant = min(8.0, max(0.3, self.grant * (1 + rate * (batch.spilt - self.spills))))
         stretch = min(10.0, latency * threads / max(1.0, work_us or batch.work))
@@ -78,7 +77,6 @@
         self.index, self.learned, self.group, self.deadline = index, learned, learned.group, now + left_us
         self.hint, self.memory_hint = work_us, memory_mb
         self.work = max(1_000.0, work_us * learned.bias or learned.usual)
-        self.memory = memory_mb * (learned.memory_bias if learned.pages else learned.grant)
         self.solo = self.work / self.group.threads
         # Counted from this try: a short time left may be a late try, but also a client that waits less.
         self.goal = now + self.group.goal_us + int(self.group.goal_stretch * self.solo)
@@ -106,7 +104,7 @@
 
 
 class Window:
-    """Own threads or memory out at once, in parts of an engine: opens while batches are kept out and answers
+    """Own threads out at once, in parts of an engine: opens while batches are kept out and answers
     run little longer than alone, closes while they crowd."""
 
     def __init__(self, width: float, narrowest: float, widest: float, now: int, weight: float = 1.0) -> None:
@@ -122,8 +120,8 @@
         if self.stretch > CROWDED:
             self.cut(now)
         elif self.pressed:
-            spare, self.pressed = 1 - self.stretch / CROWDED, False
-            self.width = min(self.widest, self.width + 0.1 * spare)
+            opened = self.width + 0.1 * (1 - self.stretch / CROWDED)
+            self.width, self.pressed = min(self.widest, opened), False
 
     def fits(self, wanted: float, free: bool) -> bool:
         """Whether that much may be out; what is free may always take one."""
@@ -131,21 +129,14 @@
         return free or wanted <= self.width
 
 
-class Dispatch:
-    def __init__(self, batch: Batch, engine: "Engine", now: int) -> None:
-        self.batch, self.sent, self.load = batch, now, engine.load
-
-
 class Engine:
     def __init__(self, index: int, width: float, credit: float, now: int) -> None:
         self.index, self.credit, self.share = index, credit, 0.0
         self.window = Window(width, NARROWEST, WIDEST, now)
         self.state, self.cold_until, self.load, self.load_at, self.reported = names.GONE, 0, 0.0, 0, False
         self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(3 * PERIOD_US, 6, 2)
-        self.out: dict[tuple[int, int], Dispatch] = {}
-        self.threads, self.memory = 0, 0.0
-        self.heard, self.shut_until, self.trial, self.strikes = now, 0, 0, 0
-        self.warm, self.held_sets = deque(maxlen=8), set()
+        self.heard, self.shut_until, self.threads = now, 0, 0
+        self.out, self.warm, self.held_sets = {}, deque(maxlen=8), set()
 
     def hear_load(self, now: int, load: float) -> None:
         """The design's moving average; the first report stands as it is."""
@@ -153,10 +144,6 @@
         self.load += weight * (load - self.load)
         self.load_at, self.reported = now, True
 
-    def enter(self, batch: Batch, sign: int) -> None:
-        self.threads += sign * batch.group.threads
-        self.memory = max(0.0, self.memory + sign * batch.memory)
-
 
 class Budget:
     """Further dispatches: spent is counted too high, taken too low, by the oldest bucket each."""
@@ -243,29 +230,26 @@
 
 
 class Gateway:
-    def __init__(self, *, seed, instance, gateways, groups, cores, memory_mb, grants, pages, priorities,
+    def __init__(self, *, seed, instance, gateways, groups, cores, grants, pages, priorities,
                  note_us, report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us,
                  cold, key_rest_us, budget, costs) -> None:
         if not groups:
             raise ValueError("settings name no service group")
         self.seed, self.instance, self.counter = seed, instance, count()
         self.learned = [Learned(group, pages or not grants) for group in groups]
-        self.cores, self.memory_mb, self.gateways = cores, memory_mb, max(1, gateways)
+        self.cores, self.gateways = cores, max(1, gateways)
         self.grants, self.priorities, self.note_us, self.costs = grants, priorities, note_us, costs
         # Of utilisations, cores before disks before memory: the design's order, carried on where it ends.
         self.load_field = next((field for field in LOADS if field in report_fields), None)
-        self.fields, self.probes, self.step_us = report_fields, probes, step_us
-        self.ask_at = 0 if ask_list else inf
+        self.fields, self.probes, self.step_us, self.ask_at = report_fields, probes, step_us, 0 if ask_list else inf
         self.max_dispatches, self.may_cancel, self.retry_us = max_dispatches, may_cancel, retry_us
         self.budget, self.cold_settings = Budget(*(budget or (inf, 0.0, PERIOD_US))), cold
         self.keys, self.cold = KeyLines(key_rest_us), None
-        self.engines: dict[int, Engine] = {}
-        self.batches: dict[int, Batch] = {}
+        self.engines, self.batches = {}, {}
         self.ready, self.later, self.mean_work, self.solved_at, self.wake_at = [], [], 1.0, 0, 0
-        self.asks, self.asked = 0.0, seed
         # Over the whole fleet: for all batches, and for small ones by themselves.
         self.fleet, self.threads, self.engine_threads = (), [0, 0], 1.0
-        self.debt, self.debt_at, self.dispatches = 0.0, 0, 0
+        self.debt, self.debt_at, self.asks, self.asked = 0.0, 0, 0.0, seed
 
     def _live(self) -> list[Engine]:
         return [engine for engine in self.engines.values() if engine.state == names.READY]
@@ -278,8 +262,7 @@
         if self.cold is None:
             self.cold = ColdGuard(*self.cold_settings, self.gateways, now_us, self.instance,
                                   min(each.usual for each in self.learned))
-        if self.fleet:
-            self._owe(self.fleet[0].width)
+        self._owe(self.fleet[0].width if self.fleet else 0.0)
         for name, *fields in events:
             getattr(self, name)(*fields)
         if now_us - self.solved_at >= PERIOD_US and self.batches and self.fleet and self._live():
@@ -325,7 +308,6 @@
             engine = self.engines[index]
             engine.zone, engine.machine, engine.cell, engine.state = zone, machine, cell, state
             engine.cores = self.cores.get(machine) or size or 1
-            engine.memory_mb = self.memory_mb.get(machine) or 0
             if started:
                 engine.cold_until = max(engine.cold_until, started + self.cold.cold_us)
         self.solved_at = 0
@@ -355,20 +337,18 @@
         for due in (min(last, int(batch.goal - 0.5 * batch.solo) + 1), last):
             heapq.heappush(self.later, (due, next(self.counter), batch))
         self._hold(batch)
-        if batch.key is not None:
-            self._thin(batch.key)
 
     def answer(self, index, number, engine, outcome, latency, complete, work_us, memory_mb, report) -> None:
         batch, engine = self.batches[index], self.engines[engine]
         dispatch = batch.out.pop(number)
         del engine.out[index, number]
-        engine.enter(batch, -1)
+        engine.threads -= batch.group.threads
         self.threads[batch.small] -= batch.group.threads
         if batch.group.holds_set:
             engine.held_sets.discard(batch.data_set)
         self._report(engine, report)
         if outcome == names.RETURNED:
-            self._returned(engine, dispatch, latency, work_us, memory_mb)
+            self._returned(engine, dispatch, latency, work_us)
         else:
             self._blame(engine, batch, outcome)
         if outcome not in names.NEVER_RAN and batch.ran_since is None:
@@ -404,17 +384,15 @@
     def _report(self, engine: Engine, report: list[float] | None) -> None:
         told = dict(zip(self.fields, report or ()))
         if self.load_field in told:
-            per = engine.cores if self.load_field == "held" else 1
-            engine.hear_load(self.now, told[self.load_field] / per)
+            engine.hear_load(self.now, told[self.load_field] / (engine.cores if self.load_field == "held" else 1))
         if told.get("waiting", 0) > 0.5:
             engine.window.cut(self.now)
 
-    def _returned(self, engine: Engine, dispatch: Dispatch, latency: int, work_us: int, memory_mb: float):
+    def _returned(self, engine: Engine, dispatch: Dispatch, latency: int, work_us: int) -> None:
         batch, learned, load = dispatch.batch, dispatch.batch.learned, dispatch.load
         engine.heard = self.now
         engine.answers.add(self.now, 0, 1)
-        engine.trial = max(0, engine.trial - 1)
-        stretch = learned.returned(batch, latency, work_us, memory_mb)
+        stretch = learned.returned(batch, latency, work_us)
         scaled = latency / learned.latency
         engine.line.add(self.now, 1, load, scaled, load * load, load * scaled)
         for window in (engine.window, *self.fleet[:1 + batch.small]):
@@ -428,7 +406,7 @@
         if outcome in (names.ERRORED, names.RESET, names.FULL):
             engine.answers.add(self.now, 1, 1)
             bad, heard = engine.answers.sums(self.now)
-            if engine.trial or (bad >= 2 and bad > 0.2 * heard):
+            if bad >= 2 and bad > 0.2 * heard:
                 self._shut(engine)
         elif outcome == names.UNREACHABLE:
             # Its process may have gone and come back before the list says so: take it for cold.
@@ -439,9 +417,7 @@
         shut = [each.shut_until > self.now for each in self._live()]
         if engine.shut_until > self.now or 2 * sum(shut) + 2 > len(shut):
             return  # when most look bad, the fault is more likely in this gateway's own view
-        engine.strikes = min(4, engine.strikes + 1) if engine.trial else 1
-        pause = PERIOD_US * 2 ** (engine.strikes - 1) * (1 + 0.3 * self.chance(engine.index))
-        engine.shut_until, engine.trial = self.now + int(pause), 3
+        engine.shut_until = self.now + int(PERIOD_US * (1 + 0.3 * self.chance(engine.index)))
 
     def _silent(self, engine: Engine) -> None:
         """Takes batches, answers none: seen when neither answers nor notes come while dispatches are out."""
@@ -489,19 +465,6 @@
         last = min(batch.deadline - 2 * TICK_US, inf if batch.group.late_utility else batch.goal)
         return soonest > last or batch.sends >= self.max_dispatches or not batch.may_resend(self.now)
 
-    def _thin(self, key: str) -> None:
-        """A crowded key makes all its batches late: where one would be, the longest up to it leaves, so that
-        the fewest are late (Moore and Hodgson). Harm: an overestimated batch is pushed back for nothing."""
-        ends, kept = self.now, []
-        for batch in list(self.keys.lines[key]):
-            ends += batch.solo * batch.learned.pace
-            kept += [batch] * (not batch.sends)
-            if ends > batch.goal and kept:
-                longest = max(kept, key=lambda each: each.solo)
-                kept.remove(longest)
-                ends -= longest.solo * longest.learned.pace
-                self._give_up(longest)
-
     def _review(self, batch: Batch) -> None:
         if not batch.over and not batch.out:
             (self._give_up if self._hopeless(batch) else self._hold)(batch)
@@ -536,14 +499,11 @@
 
     def _room(self, batch: Batch, engine: Engine) -> bool:
         group = batch.group
-        if engine.shut_until > self.now or (engine.trial and (group.kind != names.REPEATABLE or any(
-                each.sent >= engine.shut_until for each in engine.out.values()))):
-            return False
-        if (group.holds_set or group.waits_for_set) and batch.data_set in engine.held_sets:
+        locked = (group.holds_set or group.waits_for_set) and batch.data_set in engine.held_sets
+        if engine.shut_until > self.now or locked:
             return False
         threads = (engine.threads + group.threads) / (engine.cores * THREADS_PER_CORE)
-        memory = (engine.memory + batch.memory) / engine.memory_mb if engine.memory_mb else 0.0
-        return engine.window.fits(max(threads, memory), not engine.out)
+        return engine.window.fits(threads, not engine.out)
 
     def _choose(self, batch: Batch) -> Engine | None:
         def standing(engine: Engine) -> float:
@@ -572,8 +532,8 @@
             heapq.heappush(self.ready, entry)
 
     def _send(self, batch: Batch, engine: Engine) -> None:
-        batch.out[batch.sends] = engine.out[batch.index, batch.sends] = Dispatch(batch, engine, self.now)
-        engine.enter(batch, 1)
+        batch.out[batch.sends] = engine.out[batch.index, batch.sends] = Dispatch(batch, self.now, engine.load)
+        engine.threads += batch.group.threads
         self.threads[batch.small] += batch.group.threads
         if batch.sends:
             self.budget.spent.add(self.now, 1)
@@ -592,8 +552,7 @@
 
     def _debit(self, chosen: Engine, work: float) -> None:
         """Weighted round robin in units of usual work: follows the solved rates with little variance."""
-        self.dispatches += 1
-        self.mean_work += max(0.02, 1 / self.dispatches) * (work - self.mean_work)
+        self.mean_work += 0.02 * (work - self.mean_work)
         size = min(10.0, work / self.mean_work)
         for engine in self._live():
             engine.credit = min(5.0, engine.credit + engine.share * size)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -46,7 +46,7 @@
     for number in range(300):
         batch = Batch(number, learned, 0, 10**7, 100_000, 10.0)
         batch.spilt = learned.grant * 10 < 40
-        learned.returned(batch, 5_000_000 if number % 10 == 0 else 250_000, 0, 0)
+        learned.returned(batch, 5_000_000 if number % 10 == 0 else 250_000, 0)
     assert 3 < learned.grant < 5
     assert 2 < learned.bias < 3.2
 
