--- a/pathturn/adapter/settings.py
+++ b/pathturn/adapter/settings.py
@@ -54,7 +54,6 @@
         cores=dict(zip(kinds, domain.get("coresByKind") or [])),
         grants=bool(domain.get("takesGrants")),
         pages=domain.get("onShortage") == "page",
-        priorities=bool(domain.get("priorities")),
         note_us=domain.get("progressUs") or 0,
         report_fields=[FIELDS.get(field, field) for field in report.get("fields") or []],
         probes=report.get("how") == "probe" and bool(limits.get("probing")),
--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -11,9 +11,8 @@
 
 from pathturn.core import interface as names
 
-PERIOD_US, SMOOTH_US = 1_000_000, 3_000_000  # the design's starting values
+PERIOD_US, SMOOTH_US, TICK_US = 1_000_000, 3_000_000, 25_000  # the first two as the design starts
 SLICE = 0.1  # of the way from the even start to what reports suggest, a step of the solver
-TICK_US = 25_000
 THREADS_PER_CORE = 1.3  # more than one, since threads wait for disks; engines thrash soon beyond
 CROWDED = 1.9  # latency over work: above it an engine's cores, disks or memory are overcommitted
 WIDEST, NARROWEST = 1.6, 0.15
@@ -51,7 +50,6 @@
     def __init__(self, group: names.ServiceGroup, pages: bool) -> None:
         self.group, self.usual = group, float(group.goal_us) * group.threads / 2
         self.bias, self.grant = 1.0, 2.0
-        # Where engines page, a grant beyond the need takes nothing from others; elsewhere it does.
         self.spills = 0.02 if pages else 0.15
         self.pace, self.latency, self.seen = 1.5, 0.0, 0
 
@@ -65,7 +63,8 @@
         elif batch.hint:
             # Without a told cost the median latency stands for the work: means follow bad plans and crowds.
             self.bias *= exp(rate * (-0.5 if latency * threads / batch.hint < self.bias else 0.5))
-        # The grant settles where the wanted share of dispatches spills: known even where no need is told.
+        # Settles where the wanted share of dispatches spills, known even where no need is told: few where
+        # engines page, as a grant beyond the need takes nothing from others there.
         self.grant = min(8.0, max(0.3, self.grant * (1 + rate * (batch.spilt - self.spills))))
         stretch = min(10.0, latency * threads / max(1.0, work_us or batch.work))
         self.pace += 0.05 * (max(1.0, stretch) - self.pace)
@@ -104,8 +103,7 @@
 
 
 class Window:
-    """Own threads out at once, in parts of an engine: opens while batches are kept out and answers
-    run little longer than alone, closes while they crowd."""
+    """Own threads out at once, in parts of an engine: opens while it binds, closes while answers run long."""
 
     def __init__(self, width: float, narrowest: float, widest: float, now: int, weight: float = 1.0) -> None:
         self.width, self.narrowest, self.widest, self.weight = width, narrowest, widest, weight
@@ -149,8 +147,7 @@
     """Further dispatches: spent is counted too high, taken too low, by the oldest bucket each."""
 
     def __init__(self, free: float, share: float, span_us: int) -> None:
-        self.free, self.share = free, share
-        self.taken, self.spent = Ring(span_us, 20), Ring(span_us, 20)
+        self.free, self.share, self.taken, self.spent = free, share, Ring(span_us, 20), Ring(span_us, 20)
 
     def allows(self, now: int) -> bool:
         return self.spent.sums(now)[0] + 1 <= self.free + self.share * self.taken.sums(now, within=True)[0]
@@ -158,12 +155,13 @@
 
 class ColdGuard:
     """All gateways together must stay under the fall line, so each keeps to its part of the least capacity
-    that a cold engine may have. What it sent before its own start it cannot know: it waits a window out."""
+    a cold engine may have. Where that is less than a small batch they take turns of a window each, told by
+    its start, at half the budget: any window touches two turns. A gateway waits out one window of its own."""
 
-    def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, now: int,
-                 number: int, least_work: float):
+    def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, number: int,
+                 least_work: float) -> None:
         self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
-        self.from_us, self.sent = now + fall_us, defaultdict(lambda: Ring(fall_us, 10))
+        self.from_us, self.sent = 0, defaultdict(lambda: Ring(fall_us, 10))
         self.fall_us, self.number, self.least_work = fall_us, number, least_work
 
     def allows(self, now: int, engine: Engine, work: float) -> bool:
@@ -171,18 +169,16 @@
             return True
         mine, turn = self.part * engine.cores, (now - engine.cold_until + self.cold_us) // self.fall_us
         turns = max(1, min(self.cold_us // self.fall_us, int(2 * self.least_work / mine)))
-        if turn % turns != self.number % turns:
-            return False
-        spent = self.sent[engine.index].sums(now)[0]
-        return now >= self.from_us and spent + work <= mine * max(1, turns / 2)
+        work += self.sent[engine.index].sums(now)[0]
+        ours = turn % turns == self.number % turns and now >= self.from_us
+        return ours and work <= mine * max(1, turns / 2)
 
 
 class KeyLines:
     """Batches of one key, in the order taken; a key rests after a dispatch that may still be running."""
 
     def __init__(self, rest_us: int) -> None:
-        self.rest_us, self.resting = rest_us, {}
-        self.lines: dict[str, deque[Batch]] = {}
+        self.rest_us, self.resting, self.lines = rest_us, {}, {}
 
     def open_at(self, batch: Batch) -> int | None:
         """When the key lets it go first; None while earlier ones stand before it."""
@@ -230,23 +226,25 @@
 
 
 class Gateway:
-    def __init__(self, *, seed, instance, gateways, groups, cores, grants, pages, priorities,
-                 note_us, report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us,
+    def __init__(self, *, seed, instance, gateways, groups, cores, grants, pages, note_us,
+                 report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us,
                  cold, key_rest_us, budget, costs) -> None:
         if not groups:
             raise ValueError("settings name no service group")
         self.seed, self.instance, self.counter = seed, instance, count()
         self.learned = [Learned(group, pages or not grants) for group in groups]
         self.cores, self.gateways = cores, max(1, gateways)
-        self.grants, self.priorities, self.note_us, self.costs = grants, priorities, note_us, costs
+        self.grants, self.note_us, self.costs = grants, note_us, costs
         # Of utilisations, cores before disks before memory: the design's order, carried on where it ends.
         self.load_field = next((field for field in LOADS if field in report_fields), None)
-        self.fields, self.probes, self.step_us, self.ask_at = report_fields, probes, step_us, 0 if ask_list else inf
+        self.fields, self.probes, self.step_us = report_fields, probes, step_us
         self.max_dispatches, self.may_cancel, self.retry_us = max_dispatches, may_cancel, retry_us
-        self.budget, self.cold_settings = Budget(*(budget or (inf, 0.0, PERIOD_US))), cold
-        self.keys, self.cold = KeyLines(key_rest_us), None
+        self.budget = Budget(*(budget or (inf, 0.0, PERIOD_US)))
+        self.cold = ColdGuard(*cold, self.gateways, instance, min(each.usual for each in self.learned))
+        self.keys, self.ask_at = KeyLines(key_rest_us), 0 if ask_list else inf
         self.engines, self.batches = {}, {}
-        self.ready, self.later, self.mean_work, self.solved_at, self.wake_at = [], [], 1.0, 0, 0
+        self.ready, self.later, self.solved_at, self.wake_at = [], [], 0, 0
+        self.mean_work = sum(each.usual for each in self.learned) / len(self.learned)
         # Over the whole fleet: for all batches, and for small ones by themselves.
         self.fleet, self.threads, self.engine_threads = (), [0, 0], 1.0
         self.debt, self.debt_at, self.asks, self.asked = 0.0, 0, 0.0, seed
@@ -259,9 +257,7 @@
 
     def round(self, now_us: int, events: list[tuple], writer: names.Writer) -> None:
         self.now, self.out = now_us, writer
-        if self.cold is None:
-            self.cold = ColdGuard(*self.cold_settings, self.gateways, now_us, self.instance,
-                                  min(each.usual for each in self.learned))
+        self.cold.from_us = self.cold.from_us or now_us + self.cold.fall_us
         self._owe(self.fleet[0].width if self.fleet else 0.0)
         for name, *fields in events:
             getattr(self, name)(*fields)
@@ -326,8 +322,7 @@
         if work_us:
             learned.usual += (work_us * learned.bias - learned.usual) / min(learned.seen + 5, 200)
         batch = self.batches[index] = Batch(index, learned, self.now, left_us, work_us, memory_mb)
-        batch.data_set = data_set
-        batch.small = batch.work < SMALL * min(each.usual for each in self.learned)
+        batch.data_set, batch.small = data_set, batch.work < SMALL * min(each.usual for each in self.learned)
         self.budget.taken.add(self.now, 1)
         self.asks += ASKS
         if batch.group.in_order and key is not None:
@@ -361,10 +356,9 @@
     def note(self, index, engine, sort, level, number) -> None:
         self.engines[engine].heard = self.now
         batch = self.batches[index]
-        if batch.over or number not in batch.out:
-            return
         batch.spilt = batch.spilt or sort == names.SPILLS
-        if sort != names.PROGRESS or not self.may_cancel or batch.kills or batch.sends >= self.max_dispatches:
+        if (batch.over or number not in batch.out or sort != names.PROGRESS or not self.may_cancel
+                or batch.kills or batch.sends >= self.max_dispatches):
             return
         # Against bad plans; also catches a dispatch stuck behind others' work. Does harm where an estimate is
         # far too low: the same work starts over, so it is done only once a batch.
@@ -384,7 +378,8 @@
     def _report(self, engine: Engine, report: list[float] | None) -> None:
         told = dict(zip(self.fields, report or ()))
         if self.load_field in told:
-            engine.hear_load(self.now, told[self.load_field] / (engine.cores if self.load_field == "held" else 1))
+            per = engine.cores if self.load_field == "held" else 1
+            engine.hear_load(self.now, told[self.load_field] / per)
         if told.get("waiting", 0) > 0.5:
             engine.window.cut(self.now)
 
@@ -436,15 +431,13 @@
         for engine in live if self.load_field is None else ():
             engine.hear_load(self.now, len(engine.out) / engine.cores)
         # Probes are priced by the batch: a gateway with little traffic asks little, each engine in turn.
-        for _ in range(min(len(live), int(self.asks)) if self.probes else 0):
-            self.asks -= 1
-            self.asked += 1
-            self.out.probe(live[self.asked % len(live)].index)
-        self.asks = min(self.asks, len(live))
+        asks = min(len(live), int(self.asks)) if self.probes else 0
+        for turn in range(self.asked, self.asked + asks):
+            self.out.probe(live[turn % len(live)].index)
+        self.asks, self.asked = min(self.asks - asks, 1.0), self.asked + asks
         sums = [engine.line.sums(self.now) for engine in live]
         pooled = [sum(column) for column in zip(*sums)]
-        heard = [engine.load for engine in live if engine.reported]
-        middle = sum(heard) / len(heard) if heard else 0.0
+        middle = sum(engine.load for engine in live) / max(1, sum(engine.reported for engine in live))
         shares = solve([engine.cores for engine in live],
                        [max(0.0, engine.load) if engine.reported else middle for engine in live],
                        [fit(each, pooled) for each in sums],
@@ -500,10 +493,8 @@
     def _room(self, batch: Batch, engine: Engine) -> bool:
         group = batch.group
         locked = (group.holds_set or group.waits_for_set) and batch.data_set in engine.held_sets
-        if engine.shut_until > self.now or locked:
-            return False
         threads = (engine.threads + group.threads) / (engine.cores * THREADS_PER_CORE)
-        return engine.window.fits(threads, not engine.out)
+        return engine.shut_until <= self.now and not locked and engine.window.fits(threads, not engine.out)
 
     def _choose(self, batch: Batch) -> Engine | None:
         def standing(engine: Engine) -> float:
@@ -535,8 +526,7 @@
         batch.out[batch.sends] = engine.out[batch.index, batch.sends] = Dispatch(batch, self.now, engine.load)
         engine.threads += batch.group.threads
         self.threads[batch.small] += batch.group.threads
-        if batch.sends:
-            self.budget.spent.add(self.now, 1)
+        self.budget.spent.add(self.now, batch.sends > 0)
         if engine.index in self.cold.sent:
             self.cold.sent[engine.index].add(self.now, max(batch.learned.usual, batch.work))
         batch.sends += 1
@@ -545,9 +535,8 @@
             engine.held_sets.add(batch.data_set)
         engine.warm.append(batch.data_set)
         self._debit(engine, batch.work)
-        if self.priorities or self.grants:
-            grant = round(batch.learned.grant * batch.memory_hint) if self.grants else 0
-            self.out.terms(batch.index, self._priority(batch), grant)
+        grant = round(batch.learned.grant * batch.memory_hint) if self.grants else 0
+        self.out.terms(batch.index, self._priority(batch), grant)
         self.out.dispatch(batch.index, engine.index, max(1, batch.deadline - self.now - self.step_us))
 
     def _debit(self, chosen: Engine, work: float) -> None:
