--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -312,7 +312,7 @@
         fair = len(live) / self.gateways
         if live and not self.fleet:
             # A thin gateway hears too little to tell a crowd: where costs are told, its part is all it takes.
-            self.fleet = (Window(1.2 * fair, 0.0, inf, self.now, 2.0 if self.costs else 1.0),
+            self.fleet = (Window(1.2 * fair, 0.0, inf, self.now, 1.65 if self.costs else 1.0),
                           Window(4.0 * fair, 0.0, inf, self.now, 0.5))
         for window, least in zip(self.fleet, (fair, 0.3 * fair)):
             window.narrowest, window.widest = least, WIDEST * len(live)
