A gateway with a batch out wakes in time to see an engine go silent

Cause: whether anything is out was asked before the round's own dispatches, so that the first one had no wake of its own until its response goal.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -266,12 +266,12 @@
         if now_us >= self.ask_at:
             self.ask_at = inf
             writer.subscribe(True)
-        for engine in (busy := [each for each in self.engines.values() if each.out]):
+        for engine in [each for each in self.engines.values() if each.out]:
             self._silent(engine)
         while self.later and self.later[0][0] <= now_us:
             self._review(heapq.heappop(self.later)[2])
         self._pump()
-        self._sleep(bool(busy))
+        self._sleep()
 
     def _owe(self, width: float) -> None:
         """One large batch may be more than this gateway's part of the fleet: what it has out over its window
@@ -283,9 +283,9 @@
     def wake(self, tag: int) -> None:
         pass
 
-    def _sleep(self, busy: bool) -> None:
+    def _sleep(self) -> None:
         """Asks for the next round only where one is needed: most gateways have little traffic."""
-        poll = self.now + TICK_US * (1 if self.ready else 4 if busy else inf)
+        poll = self.now + TICK_US * (1 if self.ready else 4 if any(self.threads) else inf)
         due = min(self.later[0][0] if self.later else inf, self.ask_at, poll)
         if due < inf and not self.now < self.wake_at <= due:
             self.wake_at = max(due, self.now + self.step_us)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -42,7 +42,7 @@
         self.calls.append(("probe", engine, 0))
 
     def wake(self, delay_us, tag):
-        pass
+        self.woken = self.now + delay_us
 
     def subscribe(self, on):
         self.calls.append(("subscribe", on, 0))
@@ -134,6 +134,9 @@
         told = [call[2] for call in self.calls if call[:2] == ("terms", self.number(name))]
         assert told[-1:] == [int(level)], f"{name} went out at {told}"
 
+    def wakes(self, within):
+        assert self.now < self.woken <= self.now + int(within) * 1000, f"wakes at {self.woken}"
+
     def probes(self, number):
         assert sum(call[0] == "probe" for call in self.calls) == int(number)
 
