--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,7 +23,6 @@
         self.gateway, self.now = None, 0
         self.flying, self.sent, self.groups, self.batches, self.calls = {}, {}, [], [], []
 
-    # The writer's side.
     def dispatch(self, batch, engine, limit_us):
         number = self.sent[batch] = self.sent.get(batch, -1) + 1
         self.flying[batch, number] = engine
@@ -53,7 +52,6 @@
     def log(self, text):
         pass
 
-    # The scenario's side.
     def round(self, *events):
         if self.gateway is None:
             self.settings["groups"] = self.groups
