--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -42,8 +42,10 @@
 
     def sums(self, now: int, within: bool = False) -> list[float]:
         oldest = now // self.width - self.buckets + within
+        if max(self.epochs) < oldest:
+            return [0.0] * len(self.rows[0])
         rows = [row for epoch, row in zip(self.epochs, self.rows) if epoch >= oldest]
-        return [sum(column) for column in zip(*rows)] if rows else [0.0] * len(self.rows[0])
+        return [sum(column) for column in zip(*rows)]
 
 
 class Learned:
@@ -266,7 +268,7 @@
         if now_us >= self.ask_at:
             self.ask_at = inf
             writer.subscribe(True)
-        for engine in [each for each in self.engines.values() if each.out]:
+        for engine in [each for each in self.engines.values() if each.out] if any(self.threads) else ():
             self._silent(engine)
         while self.later and self.later[0][0] <= now_us:
             self._review(heapq.heappop(self.later)[2])
