--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         self.settings = {
-            "seed": 7, "instance": 0, "gateways": 1, "cores": {"m": 8, "n": 8}, 
+            "seed": 7, "instance": 0, "gateways": 1, "cores": {"m": 8, "n": 8},
             "grants": False, "pages": False, "note_us": 0, "report_fields": [],
             "probes": False, "ask_list": False, "max_dispatches": 4, "may_cancel": True, "retry_us": 0,
             "step_us": 1000, "cold": (1.0, 0, 0.0, 0), "key_rest_us": 0, "budget": None, "costs": False}
