--- a/pathturn/adapter/codec.py
+++ b/pathturn/adapter/codec.py
@@ -5,8 +5,8 @@
 
 import orjson
 
-from pathturn.adapter.settings import build
 from pathturn.core import interface as names
+from pathturn.process.settings import build
 
 OUTCOMES = {
     "ok": names.RETURNED,
--- /dev/null
+++ b/pathturn/memory/batches.py
@@ -0,0 +1,72 @@
+"""Open batches, and the dispatches that each has out."""
+
+from collections.abc import Callable
+from itertools import count
+
+from gevent.queue import SimpleQueue
+
+
+class End:
+    """How a batch ends; `how` is None when nobody waits for the answer any more."""
+
+    __slots__ = ("how", "retry_us", "rows")
+
+    def __init__(self, how: str | None, retry_us: int = 0, rows: bytes = b"") -> None:
+        self.how, self.retry_us, self.rows = how, retry_us, rows
+
+
+class Batch:
+    """What the gateway itself needs of an open batch; what decides on it lies in the module."""
+
+    __slots__ = ("index", "ticket", "group", "nonce", "statement", "until_us", "steps", "over", "sent", "out",
+                 "priority", "grant_mb")
+
+    def __init__(self, index: int, ticket: str, group: str, nonce: str | None, statement: bytes,
+                 until_us: int) -> None:
+        self.index, self.ticket, self.group, self.nonce = index, ticket, group, nonce
+        self.statement, self.until_us = statement, until_us
+        self.steps: SimpleQueue = SimpleQueue()
+        self.over, self.sent, self.priority, self.grant_mb = False, 0, 1, 0.0
+        self.out: dict[int, Dispatch] = {}
+
+    def end(self, end: End) -> None:
+        if not self.over:
+            self.over = True
+            self.steps.put(end)
+
+
+class Dispatch:
+    """One dispatch. Whoever carries it sets `stop`, so that it can be called back meanwhile."""
+
+    __slots__ = ("batch", "number", "engine", "address", "until_us", "sent_us", "called_back", "stop",
+                 "rerank")
+
+    def __init__(self, batch: Batch, engine: int, address: tuple[str, int], now_us: int,
+                 until_us: int) -> None:
+        self.batch, self.number, self.engine, self.address = batch, batch.sent, engine, address
+        self.sent_us, self.until_us, self.called_back = now_us, until_us, False
+        self.stop: Callable[[], None] | None = None
+        self.rerank: Callable[[int], None] | None = None
+
+    def call_back(self) -> None:
+        self.called_back = True
+        if self.stop is not None:
+            self.stop()
+
+
+class OpenBatches:
+    def __init__(self) -> None:
+        self.numbers, self.by_index = count(), {}
+
+    def open(self, ticket: str, group: str, nonce: str | None, statement: bytes, until_us: int) -> Batch:
+        batch = Batch(next(self.numbers), ticket, group, nonce, statement, until_us)
+        self.by_index[batch.index] = batch
+        return batch
+
+    def settle(self, batch: Batch) -> None:
+        """Forgets a batch that has its end and each of whose dispatches has its outcome."""
+        if batch.over and not batch.out:
+            self.by_index.pop(batch.index, None)
+
+    def __len__(self) -> int:
+        return len(self.by_index)
--- /dev/null
+++ b/pathturn/memory/facade.py
@@ -0,0 +1,137 @@
+"""The decision module in blocking style. A batch's greenlet asks `pick` where to send or how to end, a
+dispatch's greenlet hands its outcome to `report`, and one greenlet runs `tick` for all that came in since.
+Events, actions and indices of the module stay in here; here nothing is decided.
+"""
+
+from collections.abc import Callable
+from math import inf
+from typing import Any
+
+from gevent.event import Event
+
+from pathturn.core import interface as names
+from pathturn.memory.batches import Batch, Dispatch, End, OpenBatches
+from pathturn.memory.roster import Roster
+
+
+class Facade:
+    def __init__(self, decider: names.Decider, group_index: dict[str, int], clock: Callable[[], int],
+                 tells_cost: bool, log: Callable[[str], None]) -> None:
+        self.decider, self.group_index, self.clock = decider, group_index, clock
+        self.tells_cost, self.log_line = tells_cost, log
+        self.batches, self.roster = OpenBatches(), Roster()
+        self.events: list[tuple] = []
+        self.came, self.wake_at = Event(), inf
+        self.follows_list = Event()
+
+    def _tell(self, *event: Any) -> None:
+        self.events.append(event)
+        self.came.set()
+
+    # For the clients' side.
+    def knows(self, group: str) -> bool:
+        return group in self.group_index
+
+    def take(self, ticket: str, group: str, left_us: int, nonce: str | None, key: str | None,
+             customer: str | None, work_us: int, memory_mb: float, data_set: int, repeat: bool,
+             statement: bytes) -> Batch:
+        batch = self.batches.open(ticket, group, nonce, statement, self.clock() + left_us)
+        self._tell("batch", batch.index, self.group_index[group], customer, key, left_us, work_us, memory_mb,
+                   data_set, repeat)
+        return batch
+
+    def pick(self, batch: Batch) -> Dispatch | End:
+        return batch.steps.get()
+
+    def leave(self, batch: Batch) -> None:
+        """The client no longer waits."""
+        if not batch.over:
+            self._tell("withdrawn", batch.index)
+            batch.end(End(None))
+            self.batches.settle(batch)
+
+    # For the engines' side.
+    def note(self, dispatch: Dispatch, sort: int, level: float) -> None:
+        self._tell("note", dispatch.batch.index, dispatch.engine, sort, level, dispatch.number)
+
+    def report(self, dispatch: Dispatch, outcome: str, ended_us: int, work_us: int = 0, memory_mb: float = 0,
+               meter: list[float] | None = None, rows: bytes = b"") -> None:
+        """An outcome, exactly one for each dispatch; the first rows returned end the batch."""
+        batch = dispatch.batch
+        del batch.out[dispatch.number]
+        if outcome == names.RETURNED:
+            batch.end(End(names.RETURNED, rows=rows))
+        told = outcome == names.RETURNED and self.tells_cost
+        self._tell("answer", batch.index, dispatch.number, dispatch.engine, outcome,
+                   max(0, ended_us - dispatch.sent_us), batch.over, work_us if told else 0,
+                   memory_mb if told else 0, meter)
+        self.batches.settle(batch)
+
+    # For the list's side.
+    def listing(self, form: int, told: list[tuple]) -> None:
+        self._tell("listing", form, self.roster.rows(told))
+
+    # For whoever runs the rounds.
+    def wait(self) -> None:
+        """Until something came in, or the module asked to be woken."""
+        if not self.came.is_set():
+            left = None if self.wake_at == inf else max(0, self.wake_at - self.clock()) / 1e6
+            self.came.wait(left)
+        self.came.clear()
+
+    def tick(self) -> None:
+        now = self.clock()
+        events, self.events = [self._as_of(now, event) for event in self.events], []
+        if now >= self.wake_at:
+            self.wake_at = inf
+            events.append(("wake", 0))
+        self.decider.round(now, events, self)
+
+    def _as_of(self, now: int, event: tuple) -> tuple:
+        """A batch's time has run on between its last byte and the round."""
+        if event[0] != "batch" or event[1] not in self.batches.by_index:
+            return event
+        return (*event[:5], max(0, self.batches.by_index[event[1]].until_us - now), *event[6:])
+
+    # The writer's side: what the module decides.
+    def dispatch(self, batch: int, engine: int, limit_us: int) -> None:
+        held, now = self.batches.by_index[batch], self.clock()
+        dispatch = Dispatch(held, engine, self.roster.address[engine], now, now + limit_us)
+        held.out[held.sent] = dispatch
+        held.sent += 1
+        held.steps.put(dispatch)
+
+    def terms(self, batch: int, priority: int, grant_mb: float) -> None:
+        held = self.batches.by_index[batch]
+        held.priority, held.grant_mb = priority, grant_mb
+        for dispatch in held.out.values():
+            if dispatch.rerank is not None:
+                dispatch.rerank(priority)
+
+    def cancel(self, batch: int, dispatch: int) -> None:
+        held = self.batches.by_index.get(batch)
+        if held is not None and dispatch in held.out:
+            held.out[dispatch].call_back()
+
+    def push_back(self, batch: int, retry_us: int) -> None:
+        self._end(batch, End("pushed_back", retry_us))
+
+    def error(self, batch: int) -> None:
+        self._end(batch, End(names.ERRORED))
+
+    def _end(self, batch: int, end: End) -> None:
+        if (held := self.batches.by_index.get(batch)) is not None:
+            held.end(end)
+            self.batches.settle(held)
+
+    def wake(self, delay_us: int, tag: int) -> None:
+        self.wake_at = min(self.wake_at, self.clock() + delay_us)
+
+    def subscribe(self, on: bool) -> None:
+        (self.follows_list.set if on else self.follows_list.clear)()
+
+    def probe(self, engine: int) -> None:
+        """The protocol has no such call: the module hears nothing, as from a probe that was lost."""
+
+    def log(self, text: str) -> None:
+        self.log_line(text)
--- /dev/null
+++ b/pathturn/process/gateway.py
@@ -0,0 +1,96 @@
+"""Puts a gateway together, starts it, and stops it when asked to."""
+
+import signal
+import traceback
+from functools import partial
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.pool import Pool
+from gevent.server import StreamServer
+
+from pathturn.core import interface as names
+from pathturn.memory.buffers import Buffers
+from pathturn.memory.facade import Facade
+from pathturn.memory.pools import Pools
+from pathturn.process.clock import unix_clock
+from pathturn.process.limits import shares
+from pathturn.process.log import Log
+from pathturn.process.settings import build
+from pathturn.wire import directory
+from pathturn.wire.clients import Session
+from pathturn.wire.engines import Engines
+from pathturn.wire.line import Line
+from pathturn.wire.lookup import Lookup
+
+PRUNE_S = 1.0
+# The protocol's figure: batches still come in for this long after SIGTERM.
+STILL_COMING_S = 0.7
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, port = text.rsplit(":", 1)
+    return host, int(port)
+
+
+class GatewayProcess:
+    def __init__(self, told: dict[str, Any]) -> None:
+        settings, self.clock, self.log = told["settings"], unix_clock(), Log(told["name"])
+        limits = settings.get("limits") or {}
+        decider, group_index = build(int(told["seed"], 16), settings)
+        self.step_s = (settings.get("stepUs") or 1000) / 1e6
+        self.facade = Facade(decider, group_index, self.clock,
+                             bool((settings.get("domain") or {}).get("costInAnswers")), self.log)
+        clients, engines = shares(told["limits"]["sockets"])
+        self.buffers = Buffers()
+        self.pools = Pools(engines, limits.get("idleCloseUs") or 1_000_000,
+                           limits.get("dialTimeoutUs") or 250_000, self.clock, lambda address, dial_s: Line(address, dial_s, self.buffers, self.log))
+        report = settings.get("report") or {}
+        self.engines = Engines(self.facade, self.pools, self.clock, report.get("fields") or [],
+                               bool(limits.get("secondCopies")))
+        serial, rows = directory.known(told["known"])
+        self.facade.listing(names.CACHED, rows)
+        self.lookup = Lookup(_address(told["names"]), self.facade, settings.get("discovery") == "ask", serial,
+                             self.pools.keep_only)
+        self.server = StreamServer(_address(told["listen"]), self._client, backlog=1024, spawn=Pool(clients))
+
+    def run(self) -> None:
+        gevent.signal_handler(signal.SIGTERM, partial(gevent.spawn, self._stop))
+        self.server.start()
+        gevent.spawn(self.lookup.follow)
+        gevent.spawn(self._prune)
+        self.log("ready")
+        self._rounds()
+
+    def _rounds(self) -> None:
+        """One round for all that came in, and no more rounds than the settings' step allows."""
+        while True:
+            self.facade.wait()
+            try:
+                self.facade.tick()
+            except Exception:  # noqa: BLE001 - the other batches are owed their answers whatever went wrong
+                self.log("round failed: " + traceback.format_exc().replace("\n", " | "))
+            gevent.sleep(self.step_s)
+
+    def _client(self, link: socket.socket, peer: tuple[str, int]) -> None:
+        session = Session(link, self.facade, self.engines.send, self.buffers, lambda: True)
+        code = session.serve()
+        self.log(f"client {peer[0]}:{peer[1]} taken={session.taken} code={code}")
+
+    def _prune(self) -> None:
+        while True:
+            gevent.sleep(PRUNE_S)
+            self.pools.prune()
+
+    def _stop(self) -> None:
+        """Goes on serving until no batch is open: whatever was taken is owed an answer."""
+        self.log("stopping")
+        gevent.sleep(STILL_COMING_S)
+        self.server.close()
+        while len(self.facade.batches):
+            gevent.sleep(self.step_s)
+        # The last answers may still be on their way out of their greenlets.
+        gevent.sleep(self.step_s)
+        self.log("stopped")
+        raise SystemExit(0)
--- /dev/null
+++ b/pathturn/wire/engines.py
@@ -0,0 +1,145 @@
+"""Carries dispatches to engines: from the first byte to the outcome."""
+
+from collections.abc import Callable
+
+import gevent
+
+from pathturn.core import interface as names
+from pathturn.memory.batches import Dispatch
+from pathturn.memory.facade import Facade
+from pathturn.memory.pools import Pools
+from pathturn.wire import warehouse
+from pathturn.wire.line import Line, Lost, Unreachable
+
+
+class CalledBack(gevent.GreenletExit):
+    """The module wants the dispatch no more."""
+
+
+class TimeUp(BaseException):
+    """The dispatch's time is up."""
+
+
+class Engines:
+    def __init__(self, facade: Facade, pools: Pools, clock: Callable[[], int], report_fields: list[str],
+                 copies_allowed: bool) -> None:
+        self.facade, self.pools, self.clock = facade, pools, clock
+        self.report_fields, self.copies_allowed = report_fields, copies_allowed
+
+    def send(self, dispatch: Dispatch) -> None:
+        runner = gevent.spawn(self._carry, dispatch)
+        dispatch.stop = lambda: runner.kill(CalledBack, block=False)
+        dispatch.rerank = lambda priority: gevent.spawn(self._rerank, dispatch, priority)
+
+    def _carry(self, dispatch: Dispatch) -> None:
+        if dispatch.called_back:
+            self.facade.report(dispatch, names.UNSENT, self.clock())
+            return
+        trip = Trip(dispatch, self.pools)
+        left_s = max(0, dispatch.until_us - self.clock()) / 1e6
+        try:
+            with gevent.Timeout(left_s, TimeUp):
+                self._run(trip)
+        except Unreachable:
+            self._done(trip, names.UNREACHABLE)
+        except Lost as fault:
+            trip.drop(f"lost_{fault}")
+            self._done(trip, names.RESET)
+        except TimeUp:
+            trip.drop("time_up")
+            self._done(trip, names.TIMED_OUT if trip.begun else names.UNSENT)
+            if trip.begun:
+                self._give_up(dispatch)
+        except CalledBack:
+            trip.drop("called_back")
+            self._call_back(trip)
+
+    def _call_back(self, trip: "Trip") -> None:
+        dispatch = trip.dispatch
+        if not trip.begun:
+            self._done(trip, names.UNSENT)
+            return
+        asked, proven = self.clock(), self._give_up(dispatch)
+        if not proven and not self.copies_allowed:
+            # Against two dispatches at once: unasked for this long, the first has ended by itself.
+            gevent.sleep(max(0, asked + warehouse.FORGOTTEN_US - self.clock()) / 1e6)
+        self._done(trip, names.CANCELLED)
+
+    def _run(self, trip: "Trip") -> None:
+        dispatch, batch = trip.dispatch, trip.dispatch.batch
+        trip.line = self.pools.borrow(dispatch.address)
+        trip.begun = True
+        status, fields, body = trip.line.call(warehouse.start(
+            trip.line.host, batch.ticket, batch.group, dispatch.until_us - self.clock(), batch.nonce,
+            batch.grant_mb, batch.priority, batch.statement))
+        while status == 202:
+            if (told := warehouse.note(fields)) is not None:
+                self.facade.note(dispatch, *told)
+            status, fields, body = trip.ask(0)
+        ended = self.clock()
+        outcome, rows = warehouse.outcome(status, fields), [body]
+        if outcome == names.RETURNED:
+            for number in range(1, int(warehouse.number(fields, "x-pages") or 1)):
+                status, told, body = trip.ask(number)
+                if status != 200 or told.get("x-page") != str(number):
+                    outcome = names.ERRORED
+                    break
+                rows.append(body)
+        self.pools.give_back(trip.line)
+        trip.line = None
+        self._done(trip, outcome, ended, fields, b"".join(rows))
+
+    def _done(self, trip: "Trip", outcome: str, ended: int = 0, fields: dict[str, str] | None = None,
+              rows: bytes = b"") -> None:
+        told = fields or {}
+        trip.dispatch.stop = trip.dispatch.rerank = None
+        self.facade.report(trip.dispatch, outcome, ended or self.clock(),
+                           round(warehouse.number(told, "x-cost-ms") * 1000),
+                           warehouse.number(told, "x-needed-mb"), warehouse.meter(told, self.report_fields), rows)
+
+    def _give_up(self, dispatch: Dispatch) -> bool:
+        return self._aside(dispatch, warehouse.give_up)
+
+    def _rerank(self, dispatch: Dispatch, priority: int) -> None:
+        self._aside(dispatch, lambda host, ticket: warehouse.rank(host, ticket, priority))
+
+    def _aside(self, dispatch: Dispatch, request: Callable[[str, str], bytes]) -> bool:
+        """A call beside the one that asks for news; whether it was answered within a dial's time."""
+        line = None
+        try:
+            with gevent.Timeout(self.pools.dial_s, TimeUp):
+                line = self.pools.borrow(dispatch.address)
+                line.call(request(line.host, dispatch.batch.ticket))
+            self.pools.give_back(line)
+            return True
+        except (Unreachable, Lost, TimeUp):
+            if line is not None:
+                self.pools.drop(line, "unanswered")
+            return False
+
+
+class Trip:
+    """A dispatch and the connection that it uses at the moment."""
+
+    def __init__(self, dispatch: Dispatch, pools: Pools) -> None:
+        self.dispatch, self.pools, self.begun = dispatch, pools, False
+        self.line: Line | None = None
+
+    def ask(self, number: int) -> tuple[int, dict[str, str], bytes]:
+        """A query is tied to no connection: one that was lost is asked for once more on a new one."""
+        assert self.line is not None
+        request = warehouse.page(self.line.host, self.dispatch.batch.ticket, number)
+        try:
+            return self.line.call(request)
+        except Lost as fault:
+            self.drop(f"lost_{fault}")
+        try:
+            self.line = self.pools.borrow(self.dispatch.address, new=True)
+        except Unreachable as fault:
+            raise Lost("engine_down") from fault
+        return self.line.call(request)
+
+    def drop(self, code: str) -> None:
+        if self.line is not None:
+            self.pools.drop(self.line, code)
+            self.line = None
--- /dev/null
+++ b/pathturn/wire/jsonrpc.py
@@ -0,0 +1,76 @@
+"""JSON-RPC 2.0 lines from clients: bytes to calls, answers to bytes. No sockets here."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Iterator
+from typing import Any
+
+import orjson
+
+PUSHED_BACK = -32066  # the protocol's own; those below are JSON-RPC's, and one of the range left to servers
+ERRORED, MALFORMED, UNKNOWN, UNUSABLE = -32050, -32700, -32601, -32602
+LONGEST_LINE = 1 << 20  # a client that never ends its line must not fill the memory
+
+
+class Overlong(Exception):
+    """A line that passes what any statement may need."""
+
+
+class Lines:
+    """Cuts a stream into lines, whatever pieces it comes in."""
+
+    def __init__(self) -> None:
+        self.rest = bytearray()
+
+    def feed(self, piece: memoryview) -> Iterator[bytes]:
+        self.rest += piece
+        if len(self.rest) > LONGEST_LINE and b"\n" not in piece.tobytes():
+            raise Overlong
+        while (end := self.rest.find(b"\n")) >= 0:
+            line = bytes(self.rest[:end])
+            del self.rest[:end + 1]
+            if line.strip():
+                yield line
+
+
+def read(line: bytes, session: Any) -> None:
+    """Turns a line into one call of the session; what cannot be read is answered, never dropped."""
+    number = None
+    try:
+        message = orjson.loads(line)
+        number, method, params = message.get("id"), message["method"], message.get("params") or {}
+        if method == "ping":
+            session.ping(number)
+        elif method == "abort":
+            session.abort(params.get("trace"), params.get("id", number))
+        elif not session.knows(method):
+            session.fault(number, UNKNOWN)
+        else:
+            session.batch(number, method, params["trace"], int(params["patience"] * 1000),
+                          params.get("nonce"), params.get("entity"), params.get("customer"), int(params.get("weight", 0) * 1000),
+                          params.get("est_mb", 0), bool(params.get("redo")),
+                          b64decode(params.get("data", "")))
+    except orjson.JSONDecodeError:
+        session.fault(None, MALFORMED)
+    except (KeyError, TypeError, ValueError, AttributeError):
+        session.fault(number, UNUSABLE)
+
+
+def _line(number: Any, **told: Any) -> bytes:
+    return orjson.dumps({"jsonrpc": "2.0", "id": number, **told}) + b"\n"
+
+
+def returned(number: Any, rows: bytes) -> bytes:
+    return _line(number, result={"data": b64encode(rows).decode()})
+
+
+def pushed_back(number: Any, retry_us: int) -> bytes:
+    told = {"data": {"pause": -(-retry_us // 1000)}} if retry_us else {}
+    return _line(number, error={"code": PUSHED_BACK, "message": "pushed back", **told})
+
+
+def errored(number: Any, code: int = ERRORED) -> bytes:
+    return _line(number, error={"code": code, "message": "errored"})
+
+
+def healthy(number: Any, well: bool) -> bytes:
+    return _line(number, result={"healthy": well})
--- /dev/null
+++ b/pathturn/wire/line.py
@@ -0,0 +1,63 @@
+"""One connection to an engine: blocking calls, one at a time."""
+
+from collections.abc import Callable
+
+import httptools
+from gevent import socket
+
+from pathturn.memory.buffers import Buffers
+from pathturn.wire.http import Answers
+
+
+class Unreachable(Exception):
+    """No connection came up, which proves that nothing ran."""
+
+
+class Lost(Exception):
+    """The connection ended, or became unreadable, before the answer was whole."""
+
+
+class Line:
+    def __init__(self, address: tuple[str, int], dial_s: float, buffers: Buffers,
+                 log: Callable[[str], None]) -> None:
+        self.address, self.host = address, f"{address[0]}:{address[1]}"
+        self.buffers, self.log, self.answers, self.calls = buffers, log, Answers(), 0
+        self.idle_us = 0
+        try:
+            self.socket = socket.create_connection(address, timeout=dial_s)
+        except OSError as fault:
+            raise Unreachable(type(fault).__name__) from fault
+        self.socket.settimeout(None)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def call(self, request: bytes) -> tuple[int, dict[str, str], bytes]:
+        self.calls += 1
+        try:
+            self.socket.sendall(request)
+            with self.buffers.lent() as buffer:
+                while True:
+                    size = self.socket.recv_into(buffer)
+                    if not size:
+                        raise Lost("closed")
+                    if self.answers.feed(buffer[:size]):
+                        return self.answers.take()
+        except OSError as fault:
+            raise Lost(type(fault).__name__) from fault
+        except httptools.HttpParserError as fault:
+            raise Lost("unreadable") from fault
+
+    def fresh(self) -> bool:
+        """Whether an idle connection is still usable: the other side may have closed it meanwhile."""
+        try:
+            self.socket.settimeout(0)
+            return not self.socket.recv(1, socket.MSG_PEEK) and False
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        finally:
+            self.socket.settimeout(None)
+
+    def close(self, code: str) -> None:
+        self.socket.close()
+        self.log(f"engine {self.host} calls={self.calls} code={code}")
