--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -45,7 +45,8 @@
         clients, engines = shares(told["limits"]["sockets"])
         self.buffers = Buffers()
         self.pools = Pools(engines, limits.get("idleCloseUs") or 1_000_000,
-                           limits.get("dialTimeoutUs") or 250_000, self.clock, lambda address, dial_s: Line(address, dial_s, self.buffers, self.log))
+                           limits.get("dialTimeoutUs") or 250_000, self.clock,
+                           lambda address, dial_s: Line(address, dial_s, self.buffers, self.log))
         report = settings.get("report") or {}
         self.engines = Engines(self.facade, self.pools, self.clock, report.get("fields") or [],
                                bool(limits.get("secondCopies")))
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -95,7 +95,8 @@
         trip.dispatch.stop = trip.dispatch.rerank = None
         self.facade.report(trip.dispatch, outcome, ended or self.clock(),
                            round(warehouse.number(told, "x-cost-ms") * 1000),
-                           warehouse.number(told, "x-needed-mb"), warehouse.meter(told, self.report_fields), rows)
+                           warehouse.number(told, "x-needed-mb"),
+                           warehouse.meter(told, self.report_fields), rows)
 
     def _give_up(self, dispatch: Dispatch) -> bool:
         return self._aside(dispatch, warehouse.give_up)
--- a/pathturn/wire/jsonrpc.py
+++ b/pathturn/wire/jsonrpc.py
@@ -46,9 +46,9 @@
             session.fault(number, UNKNOWN)
         else:
             session.batch(number, method, params["trace"], int(params["patience"] * 1000),
-                          params.get("nonce"), params.get("entity"), params.get("customer"), int(params.get("weight", 0) * 1000),
-                          params.get("est_mb", 0), bool(params.get("redo")),
-                          b64decode(params.get("data", "")))
+                          params.get("nonce"), params.get("entity"), params.get("customer"),
+                          int(params.get("weight", 0) * 1000), params.get("est_mb", 0),
+                          bool(params.get("redo")), b64decode(params.get("data", "")))
     except orjson.JSONDecodeError:
         session.fault(None, MALFORMED)
     except (KeyError, TypeError, ValueError, AttributeError):
