--- a/pathturn/memory/pools.py
+++ b/pathturn/memory/pools.py
@@ -7,13 +7,15 @@
 
 from pathturn.wire.line import Line, Unreachable
 
+# Idle connections are closed in half the time after which the engines do: a call must not cross such a close.
+EARLIER = 2
+
 
 class Pools:
     def __init__(self, cap: int, idle_us: int, dial_us: int, clock: Callable[[], int],
                  dial: Callable[[tuple[str, int], float], Line]) -> None:
         self.room, self.clock, self.dial = BoundedSemaphore(cap), clock, dial
-        # Half the time after which the engines close them: a call must not cross such a close.
-        self.idle_us, self.dial_s = idle_us // 2, dial_us / 1e6
+        self.idle_us, self.dial_s = idle_us // EARLIER, dial_us / 1e6
         self.idle: dict[tuple[str, int], list[Line]] = defaultdict(list)
 
     def borrow(self, address: tuple[str, int], new: bool = False) -> Line:
@@ -22,7 +24,7 @@
             line = waiting.pop()
             if line.fresh():
                 return line
-            self._close(line, "engine_closed")
+            self.drop(line, "engine_closed")
         if not self.room.acquire(blocking=False):
             self._make_room()
             if not self.room.acquire(timeout=self.dial_s):
@@ -40,26 +42,23 @@
         line.idle_us = self.clock()
         self.idle[line.address].append(line)
 
-    def drop(self, line: Line, code: str) -> None:
-        self._close(line, code)
-
     def prune(self) -> None:
         oldest = self.clock() - self.idle_us
         for waiting in self.idle.values():
             while waiting and waiting[0].idle_us <= oldest:
-                self._close(waiting.pop(0), "idle")
+                self.drop(waiting.pop(0), "idle")
 
     def keep_only(self, addresses: set[tuple[str, int]]) -> None:
         """Drops what is idle to engines that have gone; another may listen at the address next."""
         for address in self.idle.keys() - addresses:
             for line in self.idle.pop(address):
-                self._close(line, "engine_gone")
+                self.drop(line, "engine_gone")
 
     def _make_room(self) -> None:
         fullest = max(self.idle.values(), key=len, default=None)
         if fullest:
-            self._close(fullest.pop(0), "room")
+            self.drop(fullest.pop(0), "room")
 
-    def _close(self, line: Line, code: str) -> None:
+    def drop(self, line: Line, code: str) -> None:
         line.close(code)
         self.room.release()
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -50,6 +50,7 @@
         report = settings.get("report") or {}
         self.engines = Engines(self.facade, self.pools, self.clock, report.get("fields") or [],
                                bool(limits.get("secondCopies")))
+        self.stopping = False
         serial, rows = directory.known(told["known"])
         self.facade.listing(names.CACHED, rows)
         self.lookup = Lookup(_address(told["names"]), self.facade, settings.get("discovery") == "ask", serial,
@@ -75,7 +76,7 @@
             gevent.sleep(self.step_s)
 
     def _client(self, link: socket.socket, peer: tuple[str, int]) -> None:
-        session = Session(link, self.facade, self.engines.send, self.buffers, lambda: True)
+        session = Session(link, self.facade, self.engines.send, self.buffers, lambda: not self.stopping)
         code = session.serve()
         self.log(f"client {peer[0]}:{peer[1]} taken={session.taken} code={code}")
 
@@ -86,6 +87,7 @@
 
     def _stop(self) -> None:
         """Goes on serving until no batch is open: whatever was taken is owed an answer."""
+        self.stopping = True
         self.log("stopping")
         gevent.sleep(STILL_COMING_S)
         self.server.close()
--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -79,7 +79,7 @@
     def _see_through(self, number: Any, batch: Batch) -> None:
         while isinstance(step := self.facade.pick(batch), Dispatch):
             self.send(step)
-        del self.open[number]
+        self.open.pop(number, None)
         self._answer(number, step)
 
     def _answer(self, number: Any, end: End) -> None:
--- a/pathturn/wire/directory.py
+++ b/pathturn/wire/directory.py
@@ -5,7 +5,7 @@
 
 from typing import Any
 
-from dnslib import QTYPE, DNSError, DNSQuestion, DNSRecord
+from dnslib import QTYPE, DNSQuestion, DNSRecord
 
 from pathturn.core import interface as names
 
@@ -45,8 +45,8 @@
             raise Unreadable("another answer, a fault, or cut short")
         serial = next(each.rdata.times[0] for each in record.auth if each.rtype == QTYPE.SOA)
         return serial, _rows(record)
-    except (DNSError, StopIteration, KeyError, ValueError, IndexError, AttributeError) as fault:
-        raise Unreadable(str(fault)) from fault
+    except Exception as fault:  # noqa: BLE001 - whatever a datagram holds must not end the following of the list
+        raise Unreadable(f"{type(fault).__name__}: {fault}") from fault
 
 
 def _rows(record: DNSRecord) -> list[tuple]:
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -27,15 +27,16 @@
         self.report_fields, self.copies_allowed = report_fields, copies_allowed
 
     def send(self, dispatch: Dispatch) -> None:
-        runner = gevent.spawn(self._carry, dispatch)
-        dispatch.stop = lambda: runner.kill(CalledBack, block=False)
-        dispatch.rerank = lambda priority: gevent.spawn(self._rerank, dispatch, priority)
+        gevent.spawn(self._carry, dispatch)
 
     def _carry(self, dispatch: Dispatch) -> None:
+        trip, runner = Trip(dispatch, self.pools), gevent.getcurrent()
         if dispatch.called_back:
-            self.facade.report(dispatch, names.UNSENT, self.clock())
+            self._done(trip, names.UNSENT)
             return
-        trip = Trip(dispatch, self.pools)
+        # Only from here on: a greenlet killed before its first step would never report an outcome.
+        dispatch.stop = lambda: runner.kill(CalledBack, block=False)
+        dispatch.rerank = lambda priority: gevent.spawn(self._rerank, dispatch, priority)
         left_s = max(0, dispatch.until_us - self.clock()) / 1e6
         try:
             with gevent.Timeout(left_s, TimeUp):
@@ -69,7 +70,7 @@
         dispatch, batch = trip.dispatch, trip.dispatch.batch
         trip.line = self.pools.borrow(dispatch.address)
         trip.begun = True
-        status, fields, body = trip.line.call(warehouse.start(
+        status, fields, body = trip.start(warehouse.start(
             trip.line.host, batch.ticket, batch.group, dispatch.until_us - self.clock(), batch.nonce,
             batch.grant_mb, batch.priority, batch.statement))
         while status == 202:
@@ -85,8 +86,7 @@
                     outcome = names.ERRORED
                     break
                 rows.append(body)
-        self.pools.give_back(trip.line)
-        trip.line = None
+        trip.end()
         self._done(trip, outcome, ended, fields, b"".join(rows))
 
     def _done(self, trip: "Trip", outcome: str, ended: int = 0, fields: dict[str, str] | None = None,
@@ -106,39 +106,53 @@
 
     def _aside(self, dispatch: Dispatch, request: Callable[[str, str], bytes]) -> bool:
         """A call beside the one that asks for news; whether it was answered within a dial's time."""
-        line = None
+        trip = Trip(dispatch, self.pools)
         try:
             with gevent.Timeout(self.pools.dial_s, TimeUp):
-                line = self.pools.borrow(dispatch.address)
-                line.call(request(line.host, dispatch.batch.ticket))
-            self.pools.give_back(line)
+                trip.line = self.pools.borrow(dispatch.address)
+                trip.line.call(request(trip.line.host, dispatch.batch.ticket))
+            trip.end()
             return True
         except (Unreachable, Lost, TimeUp):
-            if line is not None:
-                self.pools.drop(line, "unanswered")
             return False
+        finally:
+            trip.drop("unanswered")
 
 
 class Trip:
     """A dispatch and the connection that it uses at the moment."""
 
     def __init__(self, dispatch: Dispatch, pools: Pools) -> None:
-        self.dispatch, self.pools, self.begun = dispatch, pools, False
+        self.dispatch, self.pools, self.begun, self.lost = dispatch, pools, False, 0
         self.line: Line | None = None
 
+    def start(self, request: bytes) -> tuple[int, dict[str, str], bytes]:
+        """An engine that knows nothing of a query whose start was lost has not proven that it never ran."""
+        answer = self._call(request, warehouse.page(self.line.host, self.dispatch.batch.ticket, 0))
+        if self.lost and answer[0] == 500:
+            raise Lost("start")
+        return answer
+
     def ask(self, number: int) -> tuple[int, dict[str, str], bytes]:
-        """A query is tied to no connection: one that was lost is asked for once more on a new one."""
-        assert self.line is not None
         request = warehouse.page(self.line.host, self.dispatch.batch.ticket, number)
+        return self._call(request, request)
+
+    def _call(self, request: bytes, again: bytes) -> tuple[int, dict[str, str], bytes]:
+        """A query is tied to no connection: where one was lost, the news is asked for once on a new one."""
         try:
             return self.line.call(request)
         except Lost as fault:
+            self.lost += 1
             self.drop(f"lost_{fault}")
         try:
             self.line = self.pools.borrow(self.dispatch.address, new=True)
         except Unreachable as fault:
             raise Lost("engine_down") from fault
-        return self.line.call(request)
+        return self.line.call(again)
+
+    def end(self) -> None:
+        line, self.line = self.line, None
+        self.pools.give_back(line)
 
     def drop(self, code: str) -> None:
         if self.line is not None:
--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -47,16 +47,17 @@
             raise Lost("unreadable") from fault
 
     def fresh(self) -> bool:
-        """Whether an idle connection is still usable: the other side may have closed it meanwhile."""
+        """Whether an idle connection is still usable: the engine may have closed it, or spoken unasked."""
+        self.socket.settimeout(0)
         try:
-            self.socket.settimeout(0)
-            return not self.socket.recv(1, socket.MSG_PEEK) and False
+            self.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
             return False
         finally:
             self.socket.settimeout(None)
+        return False
 
     def close(self, code: str) -> None:
         self.socket.close()
