--- a/pathturn/cli.py
+++ b/pathturn/cli.py
@@ -1,5 +1,6 @@
 """The command line."""
 
+import signal
 from pathlib import Path
 from typing import Annotated
 
@@ -14,9 +15,13 @@
 @app.command()
 def serve(config: ConfigFile) -> None:
     """Run one gateway in the foreground until SIGTERM."""
-    from pathturn.process.gateway import GatewayProcess  # only this command needs the event loop
+    import gevent  # here, since only this command needs the event loop
 
-    GatewayProcess(orjson.loads(config.read_bytes())).run()
+    from pathturn.process.gateway import GatewayProcess
+
+    gateway = GatewayProcess(orjson.loads(config.read_bytes()))
+    gevent.signal_handler(signal.SIGTERM, gateway.asked_to_stop.set)
+    gateway.run()
 
 
 @app.command()
--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -49,9 +49,11 @@
         self.rerank: Callable[[int], None] | None = None
 
     def call_back(self) -> None:
+        """Once only: a second one would strike the greenlet while it takes the first to the engine."""
+        stop = None if self.called_back else self.stop
         self.called_back = True
-        if self.stop is not None:
-            self.stop()
+        if stop is not None:
+            stop()
 
 
 class OpenBatches:
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -1,12 +1,11 @@
 """Puts a gateway together, starts it, and stops it when asked to."""
 
-import signal
 import traceback
-from functools import partial
 from typing import Any
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from gevent.pool import Pool
 from gevent.server import StreamServer
 
@@ -50,7 +49,7 @@
         report = settings.get("report") or {}
         self.engines = Engines(self.facade, self.pools, self.clock, report.get("fields") or [],
                                bool(limits.get("secondCopies")))
-        self.stopping = False
+        self.asked_to_stop = Event()
         serial, rows = directory.known(told["known"])
         self.facade.listing(names.CACHED, rows)
         self.lookup = Lookup(_address(told["names"]), self.facade, settings.get("discovery") == "ask", serial,
@@ -58,12 +57,13 @@
         self.server = StreamServer(_address(told["listen"]), self._client, backlog=1024, spawn=Pool(clients))
 
     def run(self) -> None:
-        gevent.signal_handler(signal.SIGTERM, partial(gevent.spawn, self._stop))
+        """Serves until a stop is asked for and nothing taken is open any more."""
         self.server.start()
-        gevent.spawn(self.lookup.follow)
-        gevent.spawn(self._prune)
+        for part in (self._rounds, self.lookup.follow, self._prune):
+            gevent.spawn(part)
         self.log("ready")
-        self._rounds()
+        self.asked_to_stop.wait()
+        self._finish()
 
     def _rounds(self) -> None:
         """One round for all that came in, and no more rounds than the settings' step allows."""
@@ -76,7 +76,8 @@
             gevent.sleep(self.step_s)
 
     def _client(self, link: socket.socket, peer: tuple[str, int]) -> None:
-        session = Session(link, self.facade, self.engines.send, self.buffers, lambda: not self.stopping)
+        session = Session(link, self.facade, self.engines.send, self.buffers,
+                          lambda: not self.asked_to_stop.is_set())
         code = session.serve()
         self.log(f"client {peer[0]}:{peer[1]} taken={session.taken} code={code}")
 
@@ -85,9 +86,8 @@
             gevent.sleep(PRUNE_S)
             self.pools.prune()
 
-    def _stop(self) -> None:
+    def _finish(self) -> None:
         """Goes on serving until no batch is open: whatever was taken is owed an answer."""
-        self.stopping = True
         self.log("stopping")
         gevent.sleep(STILL_COMING_S)
         self.server.close()
@@ -96,4 +96,3 @@
         # The last answers may still be on their way out of their greenlets.
         gevent.sleep(self.step_s)
         self.log("stopped")
-        raise SystemExit(0)
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -37,9 +37,8 @@
         # Only from here on: a greenlet killed before its first step would never report an outcome.
         dispatch.stop = lambda: runner.kill(CalledBack, block=False)
         dispatch.rerank = lambda priority: gevent.spawn(self._rerank, dispatch, priority)
-        left_s = max(0, dispatch.until_us - self.clock()) / 1e6
         try:
-            with gevent.Timeout(left_s, TimeUp):
+            with gevent.Timeout(self._left_s(dispatch), TimeUp):
                 self._run(trip)
         except Unreachable:
             self._done(trip, names.UNREACHABLE)
@@ -56,15 +55,15 @@
             self._call_back(trip)
 
     def _call_back(self, trip: "Trip") -> None:
-        dispatch = trip.dispatch
-        if not trip.begun:
-            self._done(trip, names.UNSENT)
-            return
-        asked, proven = self.clock(), self._give_up(dispatch)
-        if not proven and not self.copies_allowed:
-            # Against two dispatches at once: unasked for this long, the first has ended by itself.
-            gevent.sleep(max(0, asked + warehouse.FORGOTTEN_US - self.clock()) / 1e6)
-        self._done(trip, names.CANCELLED)
+        # Never beyond the batch's own time: as long as the outcome is missing, nothing can end the batch.
+        with gevent.Timeout(self._left_s(trip.dispatch), False):
+            if trip.begun and not self._give_up(trip.dispatch) and not self.copies_allowed:
+                # Against two dispatches at once: unasked for this long, the first has ended by itself.
+                gevent.sleep(warehouse.FORGOTTEN_US / 1e6)
+        self._done(trip, names.CANCELLED if trip.begun else names.UNSENT)
+
+    def _left_s(self, dispatch: Dispatch) -> float:
+        return max(0, dispatch.until_us - self.clock()) / 1e6
 
     def _run(self, trip: "Trip") -> None:
         dispatch, batch = trip.dispatch, trip.dispatch.batch
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,24 @@
-"""Plays scenarios in the project's own notation against one gateway, with no bench."""
+"""Plays scenarios in the project's own notation, with no bench: `.play` against the decision module alone,
+`.wire` against a gateway on sockets between stand-ins.
+"""
 
+import struct
+from base64 import b64decode, b64encode
 from pathlib import Path
+from time import monotonic
 
+import gevent
+import orjson
 import pytest
+from dnslib import QTYPE, RR, SOA, SRV, TXT, A, DNSRecord
+from gevent import socket
+from gevent.server import DatagramServer, StreamServer
 
 from pathturn.core import interface as names
 from pathturn.core.choice import Gateway
+from pathturn.process.gateway import GatewayProcess
+from pathturn.process.limits import shares
+from pathturn.wire import directory
 
 SECOND = 1_000_000
 KINDS = {"repeatable": names.REPEATABLE, "referenced": names.REFERENCED, "once": names.ONCE_ONLY}
@@ -115,6 +128,9 @@
             self.now += 25_000
             self.round()
 
+    def close(self):
+        pass
+
     # What a scenario may claim; each fails with the claim's own line.
     def at(self, name, *engines):
         assert self.where(name) == [int(each) for each in engines], f"{name} is at {self.where(name)}"
@@ -143,8 +159,234 @@
         assert called == list(batches), f"cancelled {called}"
 
 
+class StandInEngine:
+    """Speaks the engines' protocol as scripted: a word for each query, the last one for all others."""
+
+    def __init__(self, words):
+        self.words, self.asked, self.queries = list(words) or ["rows:1"], [], {}
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+
+    def serve(self, link, peer):
+        while True:
+            verb, path, fields, body = read_request(link)
+            if not verb:
+                return
+            self.asked.append((verb, path, fields, body))
+            if verb == "POST":
+                ticket, word = fields["x-ticket"], self.words.pop(0) if len(self.words) > 1 else self.words[0]
+                self.queries[ticket] = (word, monotonic())
+                if word in ("reset", "drop"):
+                    if word == "reset":
+                        del self.queries[ticket]
+                        link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    link.close()
+                    return
+                self.news(link, ticket)
+            elif verb == "GET":
+                self.page(link, *path.split("/")[2:])
+            elif self.queries.pop(path.split("/")[2], ("",))[0] != "mute":
+                self.answer(link, 204)
+
+    def news(self, link, ticket):
+        word, since = self.queries.get(ticket, ("error", 0))
+        kind, _, value = word.partition(":")
+        if kind in ("hang", "mute"):
+            gevent.sleep(30)
+        elif kind in ("runs", "notes"):
+            gevent.sleep(0.05)
+            if (monotonic() - since) * 1000 < int(value):
+                note = [("X-Remark", "done"), ("X-Value", "0.01")] if kind == "notes" else []
+                return self.answer(link, 202, note)
+            kind, value = "rows", "1"
+        elif kind == "drop":
+            kind, value = "rows", "1"
+        if kind in ("rows", "lost"):
+            told = [("X-Pages", value or 2), ("X-Cost-Ms", 5), ("X-Needed-Mb", 1),
+                    ("X-Meter", "queue:0;inflight:2")]
+            return self.answer(link, 200, told, b"a\tb\t0\n")
+        status = {"full": 503, "over": 504}.get(kind, 500)
+        return self.answer(link, status, [("X-Shed", 1)] if status != 500 else [])
+
+    def page(self, link, ticket, number):
+        if number == "0":
+            return self.news(link, ticket)
+        if self.queries[ticket][0] == "lost":
+            return self.answer(link, 500)
+        return self.answer(link, 200, [("X-Page", number)], f"a\tb\t{number}\n".encode())
+
+    def answer(self, link, status, fields=(), body=b""):
+        head = [f"HTTP/1.1 {status} said", *(f"{name}: {value}" for name, value in fields),
+                f"Content-Length: {len(body)}", "", ""]
+        link.sendall("\r\n".join(head).encode() + body)
+
+def read_request(link):
+    data = b""
+    while b"\r\n\r\n" not in data:
+        if not (piece := link.recv(4096)):
+            return None, None, None, None
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *rest = head.decode().split("\r\n")
+    fields = {name.lower(): value for name, value in (each.split(": ", 1) for each in rest)}
+    while len(body) < int(fields.get("content-length", 0)):
+        body += link.recv(4096)
+    return *first.split()[:2], fields, body
+
+
+def at(server):
+    host, port = server.address
+    return f"{host}:{port}"
+
+
+class Rig:
+    """A gateway in this process between stand-in engines, a stand-in directory and a client."""
+
+    GROUPS = {"look": ("retryable", 1500, {}), "pay": ("fragile", 1500, {}),
+              "load": ("dedup", 3000, {"group": "all", "memorySpanUs": 10 * SECOND, "inTurn": True})}
+
+    def __init__(self):
+        self.engines, self.states, self.answers, self.serial, self.gateway = {}, {}, {}, 1, None
+        self.settings = {
+            "classes": [{"name": name, "promiseUs": 400_000, "deadlineUs": limit * 1000, "effect": effect,
+                         "worth": 1.0, "lateValue": 1.0, **more}
+                        for name, (effect, limit, more) in self.GROUPS.items()],
+            "limits": {"maxAttempts": 4, "cancel": True, "dialTimeoutUs": 150_000, "idleCloseUs": 15 * SECOND,
+                       "secondCopies": True, "retryAfter": True, "maxRetryAfterUs": 500_000},
+            "rules": {"keyQuietUs": 300_000}, "report": {"how": "answers", "fields": ["depth", "concurrent"]},
+            "domain": {"widthByClass": [1, 1, 1], "coresByKind": [8], "costInAnswers": True}, "kinds": ["m"],
+            "discovery": "push", "stepUs": 1000, "siblings": 1}
+
+    def set(self, path, value):
+        part, name = path.split(".")
+        self.settings.setdefault(part, {})[name] = orjson.loads(value)
+
+    def engine(self, name, *words):
+        self.engines[name], self.states[name] = StandInEngine(words), "in_service"
+
+    def down(self, name):
+        self.engines[name].server.stop(0)
+
+    def configuration(self, listen="127.0.0.1:0"):
+        servers = [{"id": name, "addr": at(each.server), "zone": "z", "kind": "m", "cell": 0,
+                    "state": self.states[name], "weight": 1, "started_ms": 0}
+                   for name, each in self.engines.items()]
+        self.names = DatagramServer(("127.0.0.1", 0), self.directory)
+        self.names.start()
+        return {"name": "n0", "listen": listen, "seed": "0f", "settings": self.settings,
+                "limits": {"sockets": 200, "memory_mb": 192, "cores": 1.0},
+                "names": at(self.names),
+                "known": {"index": 1, "updates": [{"endpoints": {"full": True, "servers": servers}}]}}
+
+    def directory(self, packet, peer):
+        reply = DNSRecord.parse(packet).reply()
+        for name, engine in self.engines.items():
+            if self.states[name] != "gone":
+                host, port = engine.server.address
+                target, draining = f"{name}.z.hosts", int(self.states[name] == "draining")
+                reply.add_answer(RR(directory.NAME, QTYPE.SRV, rdata=SRV(draining, 10, port, target)))
+                reply.add_ar(RR(target, QTYPE.A, rdata=A(host)))
+                reply.add_ar(RR(target, QTYPE.TXT, rdata=TXT(["kind=m", "cell=0", "started=0"])))
+        reply.add_auth(RR("farm.lan", QTYPE.SOA, rdata=SOA("ns.lan", "op.lan", (self.serial, 1, 1, 1, 1))))
+        self.names.sendto(reply.pack(), peer)
+
+    def start(self):
+        self.gateway = GatewayProcess(self.configuration())
+        self.running = gevent.spawn(self.gateway.run)
+        self.connect()
+
+    def connect(self):
+        while not self.gateway.server.started:
+            gevent.sleep(0.001)
+        self.client = socket.create_connection(self.gateway.server.address)
+        self.reader = gevent.spawn(self.read, self.client)
+
+    def read(self, client):
+        for line in client.makefile("rb"):
+            message = orjson.loads(line)
+            self.answers.setdefault(message["id"], []).append((monotonic(), message))
+
+    def close(self):
+        for each in [*(engine.server for engine in self.engines.values()), self.names]:
+            each.stop(0)
+        self.gateway.server.stop(0)
+        gevent.killall([self.running, self.reader])
+
+    def raw(self, *words):
+        self.client.sendall(" ".join(words).encode() + b"\n")
+
+    def call(self, number, group, patience="1000", key=None, nonce=None):
+        params = {"trace": f"{int(number):016x}", "patience": int(patience), "weight": 100, "est_mb": 1,
+                  "data": b64encode(b"SELECT 1 FROM sales_3.orders").decode()}
+        params |= {name: value for name, value in (("entity", key), ("nonce", nonce)) if value}
+        self.raw(orjson.dumps({"id": int(number), "method": group, "params": params}).decode())
+
+    def abort(self, number):
+        told = {"trace": f"{int(number):016x}"}
+        self.raw(orjson.dumps({"method": "abort", "params": told}).decode())
+
+    def hang_up(self):
+        self.client.shutdown(socket.SHUT_RDWR)
+
+    def change(self, name, state):
+        self.states[name], self.serial = state, self.serial + 1
+
+    def wait(self, milliseconds):
+        gevent.sleep(int(milliseconds) / 1000)
+
+    def answered(self, number, within="3000"):
+        end = monotonic() + int(within) / 1000
+        while int(number) not in self.answers and monotonic() < end:
+            gevent.sleep(0.005)
+        gevent.sleep(0.02)  # a second answer would be one too many
+        found = self.answers.get(int(number), [])
+        assert len(found) == 1, f"{len(found)} answers to {number}"
+        return found[0][1]
+
+    def returned(self, number, pages="1", within="3000"):
+        message = self.answered(number, within)
+        wanted = "".join(f"a\tb\t{page}\n" for page in range(int(pages))).encode()
+        assert b64decode(message.get("result", {}).get("data", "")) == wanted, f"answered {message}"
+
+    def pushed_back(self, number, within="3000"):
+        told = self.answered(number, within).get("error", {})
+        assert told.get("code") == -32066 and 0 < told["data"]["pause"] <= 500, f"answered {told}"
+
+    def errored(self, number, within="3000"):
+        told = self.answered(number, within).get("error", {})
+        assert told.get("code", -32066) != -32066, f"answered {told}"
+
+    def healthy(self, number):
+        assert self.answered(number)["result"] == {"healthy": True}
+
+    def unanswered(self, number):
+        assert int(number) not in self.answers, f"answered {self.answers[int(number)]}"
+
+    def asked(self, name, verb, times):
+        found = sum(each[0] == verb for each in self.engines[name].asked)
+        assert found == int(times), f"{found} {verb} at {name}"
+
+    def told(self, name, field, value):
+        fields = next(each[2] for each in reversed(self.engines[name].asked) if each[0] == "POST")
+        assert fields.get(field, "-") == value, f"{field} was {fields.get(field)}"
+
+    def idle(self):
+        """Nothing is open, and no connection is counted that is not there."""
+        pools, deadline = self.gateway.pools, monotonic() + 2
+        while True:
+            held, kept = shares(200)[1] - pools.room.counter, sum(map(len, pools.idle.values()))
+            if monotonic() > deadline or (held == kept and not len(self.gateway.facade.batches)):
+                break
+            gevent.sleep(0.01)
+        assert not len(self.gateway.facade.batches), "a batch is still open"
+        assert held == kept, f"{held} connections counted, {kept} there"
+
+
+STAGES = {".play": Stage, ".wire": Rig}
+
+
 def pytest_collect_file(parent, file_path: Path):
-    return Scenarios.from_parent(parent, path=file_path) if file_path.suffix == ".play" else None
+    return Scenarios.from_parent(parent, path=file_path) if file_path.suffix in STAGES else None
 
 
 class Scenarios(pytest.File):
@@ -165,14 +407,20 @@
         self.lines = lines
 
     def runtest(self):
-        stage = Stage()
-        for word, *values in self.lines:
-            try:
-                options = dict(value.split("=") for value in values if "=" in value)
-                plain = [value for value in values if "=" not in value]
-                getattr(stage, word)(*plain, **options)
-            except AssertionError as fault:
-                raise AssertionError(f"{' '.join([word, *values])}: {fault}") from None
+        stage = STAGES[self.path.suffix]()
+        try:
+            for word, *values in self.lines:
+                self.play(stage, word, values)
+        finally:
+            stage.close()
+
+    def play(self, stage, word, values):
+        try:
+            options = dict(value.split("=") for value in values if "=" in value)
+            plain = [value for value in values if "=" not in value]
+            getattr(stage, word)(*plain, **options)
+        except AssertionError as fault:
+            raise AssertionError(f"{' '.join([word, *values])}: {fault}") from None
 
     def reportinfo(self):
         return self.path, 0, self.name
