--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -246,7 +246,8 @@
               "load": ("dedup", 3000, {"group": "all", "memorySpanUs": 10 * SECOND, "inTurn": True})}
 
     def __init__(self):
-        self.engines, self.states, self.answers, self.serial, self.gateway = {}, {}, {}, 1, None
+        self.engines, self.states, self.answers, self.serial = {}, {}, {}, 1
+        self.gateway, self.greenlets = None, []
         self.settings = {
             "classes": [{"name": name, "promiseUs": 400_000, "deadlineUs": limit * 1000, "effect": effect,
                          "worth": 1.0, "lateValue": 1.0, **more}
@@ -267,7 +268,7 @@
     def down(self, name):
         self.engines[name].server.stop(0)
 
-    def configuration(self, listen="127.0.0.1:0"):
+    def configuration(self, listen):
         servers = [{"id": name, "addr": at(each.server), "zone": "z", "kind": "m", "cell": 0,
                     "state": self.states[name], "weight": 1, "started_ms": 0}
                    for name, each in self.engines.items()]
@@ -291,15 +292,24 @@
         self.names.sendto(reply.pack(), peer)
 
     def start(self):
-        self.gateway = GatewayProcess(self.configuration())
-        self.running = gevent.spawn(self.gateway.run)
+        self.gateway = GatewayProcess(self.configuration(self.spare_address()))
+        self.greenlets.append(gevent.spawn(self.gateway.run))
         self.connect()
 
+    def spare_address(self):
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.listen = probe.getsockname()
+        return "{}:{}".format(*self.listen)
+
     def connect(self):
-        while not self.gateway.server.started:
-            gevent.sleep(0.001)
-        self.client = socket.create_connection(self.gateway.server.address)
-        self.reader = gevent.spawn(self.read, self.client)
+        for _ in range(300):
+            try:
+                self.client = socket.create_connection(self.listen)
+                break
+            except ConnectionRefusedError:
+                gevent.sleep(0.01)
+        self.greenlets.append(gevent.spawn(self.read, self.client))
 
     def read(self, client):
         for line in client.makefile("rb"):
@@ -309,8 +319,9 @@
     def close(self):
         for each in [*(engine.server for engine in self.engines.values()), self.names]:
             each.stop(0)
-        self.gateway.server.stop(0)
-        gevent.killall([self.running, self.reader])
+        if self.gateway is not None:
+            self.gateway.server.stop(0)
+        gevent.killall(self.greenlets)
 
     def raw(self, *words):
         self.client.sendall(" ".join(words).encode() + b"\n")
@@ -385,6 +396,13 @@
 STAGES = {".play": Stage, ".wire": Rig}
 
 
+@pytest.fixture
+def rig():
+    rig = Rig()
+    yield rig
+    rig.close()
+
+
 def pytest_collect_file(parent, file_path: Path):
     return Scenarios.from_parent(parent, path=file_path) if file_path.suffix in STAGES else None
 
