--- a/pathturn/cli.py
+++ b/pathturn/cli.py
@@ -7,8 +7,14 @@
 import orjson
 import typer
 
+from pathturn.process.limits import shares
+from pathturn.process.settings import build
+from pathturn.wire import directory
+from pathturn.wire.statement import data_set
+
 VERSION = "0.2.0"
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
+StatementFile = Annotated[typer.FileText, typer.Argument(help="a file, or - for standard input")]
 ConfigFile = Annotated[Path, typer.Argument(envvar="EDGE_CONFIG", help="the configuration file")]
 
 
@@ -24,6 +30,26 @@
     gateway.run()
 
 
+@app.command()
+def check(config: ConfigFile) -> None:
+    """Read a configuration and print what a gateway would start with."""
+    told = orjson.loads(config.read_bytes())
+    serial, rows = directory.known(told["known"])
+    _, groups = build(int(told["seed"], 16), told["settings"])
+    clients, engines = shares(told["limits"]["sockets"])
+    typer.echo(f"{told['name']} on {told['listen']}, list of event {serial}, from {told['names']}")
+    typer.echo(f"connections: {clients} from clients, {engines} to engines")
+    typer.echo("service groups: " + ", ".join(groups))
+    for identity, (host, port), zone, machine, *_ in rows:
+        typer.echo(f"engine {identity} at {host}:{port}, {zone}, {machine}")
+
+
+@app.command("data-set")
+def data_set_of(statement: StatementFile) -> None:
+    """Print the data set that a statement touches, as a gateway reads it; 0 if it names none."""
+    typer.echo(data_set(statement.read()))
+
+
 @app.command()
 def version() -> None:
     """Print the version."""
--- a/pathturn/wire/jsonrpc.py
+++ b/pathturn/wire/jsonrpc.py
@@ -47,7 +47,7 @@
         else:
             session.batch(number, method, params["trace"], int(params["patience"] * 1000),
                           params.get("nonce"), params.get("entity"), params.get("customer"),
-                          int(params.get("weight", 0) * 1000), params.get("est_mb", 0),
+                          int((params.get("weight") or 0) * 1000), params.get("est_mb") or 0,
                           bool(params.get("redo")), b64decode(params.get("data", "")))
     except orjson.JSONDecodeError:
         session.fault(None, MALFORMED)
--- a/pathturn/wire/lookup.py
+++ b/pathturn/wire/lookup.py
@@ -51,7 +51,8 @@
         except directory.Unreadable:
             return False
         self.raw = packet[2:]
-        if serial != self.last:
+        # An older list would bring back engines that have begun to drain.
+        if serial > self.last:
             self.last = serial
             self.facade.listing(names.WHOLE, rows)
             self.changed({row[1] for row in rows})
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -342,6 +342,9 @@
     def change(self, name, state):
         self.states[name], self.serial = state, self.serial + 1
 
+    def stale_list(self, serial):
+        self.serial = int(serial)
+
     def wait(self, milliseconds):
         gevent.sleep(int(milliseconds) / 1000)
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,7 +8,10 @@
 import gevent
 import orjson
 import pytest
+from conftest import at
+from typer.testing import CliRunner
 
+from pathturn.cli import app
 from pathturn.core import interface as names
 from pathturn.process.log import LINES_A_SECOND, Log
 from pathturn.wire import directory, jsonrpc, warehouse
@@ -95,6 +98,17 @@
     assert lines[-2].endswith("log 3 lines left out") and lines[-1].endswith("n0 next")
 
 
+def test_commands_tell_what_a_gateway_would_read(rig, tmp_path) -> None:
+    rig.engine("e")
+    config, statement = tmp_path / "config.json", tmp_path / "statement.sql"
+    config.write_bytes(orjson.dumps(rig.configuration("127.0.0.1:8443")))
+    statement.write_text("SELECT n FROM sales_17.orders")
+    told = CliRunner().invoke(app, ["check", str(config)])
+    assert told.exit_code == 0 and "connections: 66 from clients, 102 to engines" in told.output
+    assert f"engine e at {at(rig.engines['e'].server)}, z, m" in told.output
+    assert CliRunner().invoke(app, ["data-set", str(statement)]).output == "17\n"
+
+
 def test_a_stopped_process_answers_what_it_took_and_ends_well(rig, tmp_path) -> None:
     rig.engine("e", "runs:1200")
     config = tmp_path / "config.json"
