Dispatches wait for room for a connection instead of blaming the engine

Read: with all connections in use, borrow gave up after a dial's time as 'unreachable', for which the module closes the engine and takes it for cold (memory/pools.py).

--- a/pathturn/memory/pools.py
+++ b/pathturn/memory/pools.py
@@ -5,7 +5,7 @@
 
 from gevent.lock import BoundedSemaphore
 
-from pathturn.wire.line import Line, Unreachable
+from pathturn.wire.line import Line
 
 # Idle connections are closed in half the time after which the engines do: a call must not cross such a close.
 EARLIER = 2
@@ -17,6 +17,7 @@
         self.room, self.clock, self.dial = BoundedSemaphore(cap), clock, dial
         self.idle_us, self.dial_s = idle_us // EARLIER, dial_us / 1e6
         self.idle: dict[tuple[str, int], list[Line]] = defaultdict(list)
+        self.waiting = 0
 
     def borrow(self, address: tuple[str, int], new: bool = False) -> Line:
         waiting = self.idle[address]
@@ -25,10 +26,7 @@
             if line.fresh():
                 return line
             self.drop(line, "engine_closed")
-        if not self.room.acquire(blocking=False):
-            self._make_room()
-            if not self.room.acquire(timeout=self.dial_s):
-                raise Unreachable("no room for a connection")
+        self._take_room()
         try:
             return self.dial(address, self.dial_s)
         except BaseException:
@@ -36,8 +34,8 @@
             raise
 
     def give_back(self, line: Line) -> None:
-        if not line.answers.keeps:
-            self.drop(line, "engine_closes")
+        if self.waiting or not line.answers.keeps:
+            self.drop(line, "room" if self.waiting else "engine_closes")
             return
         line.idle_us = self.clock()
         self.idle[line.address].append(line)
@@ -54,10 +52,18 @@
             for line in self.idle.pop(address):
                 self.drop(line, "engine_gone")
 
-    def _make_room(self) -> None:
+    def _take_room(self) -> None:
+        """Waits in turn when all are in use: an engine is not to blame for this gateway's limit."""
+        if self.room.acquire(blocking=False):
+            return
         fullest = max(self.idle.values(), key=len, default=None)
         if fullest:
             self.drop(fullest.pop(0), "room")
+        self.waiting += 1
+        try:
+            self.room.acquire()
+        finally:
+            self.waiting -= 1
 
     def drop(self, line: Line, code: str) -> None:
         line.close(code)
--- a/pathturn/wire/warehouse.py
+++ b/pathturn/wire/warehouse.py
@@ -59,7 +59,9 @@
 def meter(fields: dict[str, str], wanted: list[str]) -> list[float] | None:
     """The load values in the order in which the settings name them; one missing voids the report."""
     told = dict(part.split(":", 1) for part in fields.get("x-meter", "").split(";") if ":" in part)
+    if not told:
+        return None
     try:
-        return [float(told[name] if name in told else told[METERS[name]]) for name in wanted] if told else None
+        return [float(told[name] if name in told else told[METERS[name]]) for name in wanted]
     except (KeyError, ValueError):
         return None
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -247,7 +247,7 @@
 
     def __init__(self):
         self.engines, self.states, self.answers, self.serial = {}, {}, {}, 1
-        self.gateway, self.greenlets = None, []
+        self.gateway, self.greenlets, self.limit = None, [], 200
         self.settings = {
             "classes": [{"name": name, "promiseUs": 400_000, "deadlineUs": limit * 1000, "effect": effect,
                          "worth": 1.0, "lateValue": 1.0, **more}
@@ -265,6 +265,9 @@
     def engine(self, name, *words):
         self.engines[name], self.states[name] = StandInEngine(words), "in_service"
 
+    def sockets(self, limit):
+        self.limit = int(limit)
+
     def down(self, name):
         self.engines[name].server.stop(0)
 
@@ -275,7 +278,7 @@
         self.names = DatagramServer(("127.0.0.1", 0), self.directory)
         self.names.start()
         return {"name": "n0", "listen": listen, "seed": "0f", "settings": self.settings,
-                "limits": {"sockets": 200, "memory_mb": 192, "cores": 1.0},
+                "limits": {"sockets": self.limit, "memory_mb": 192, "cores": 1.0},
                 "names": at(self.names),
                 "known": {"index": 1, "updates": [{"endpoints": {"full": True, "servers": servers}}]}}
 
@@ -388,7 +391,7 @@
         """Nothing is open, and no connection is counted that is not there."""
         pools, deadline = self.gateway.pools, monotonic() + 2
         while True:
-            held, kept = shares(200)[1] - pools.room.counter, sum(map(len, pools.idle.values()))
+            held, kept = shares(self.limit)[1] - pools.room.counter, sum(map(len, pools.idle.values()))
             if monotonic() > deadline or (held == kept and not len(self.gateway.facade.batches)):
                 break
             gevent.sleep(0.01)
