--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -51,6 +51,10 @@
             self.batches.settle(batch)
 
     # For the engines' side.
+    def stands(self, dispatch: Dispatch) -> bool:
+        """Whether a dispatch that waited for a connection may still begin: drains and aborts come too."""
+        return not dispatch.batch.over and dispatch.engine in self.roster.ready
+
     def note(self, dispatch: Dispatch, sort: int, level: float) -> None:
         self._tell("note", dispatch.batch.index, dispatch.engine, sort, level, dispatch.number)
 
@@ -69,7 +73,8 @@
 
     # For the list's side.
     def listing(self, form: int, told: list[tuple]) -> None:
-        self._tell("listing", form, self.roster.rows(told))
+        """The whole list, or that it could not be had."""
+        self._tell("listing", form, [] if form == names.FAILED else self.roster.rows(told))
 
     # For whoever runs the rounds.
     def wait(self) -> None:
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -66,14 +66,17 @@
         self._finish()
 
     def _rounds(self) -> None:
-        """One round for all that came in, and no more rounds than the settings' step allows."""
+        """One round for all that came in within the settings' step."""
         while True:
             self.facade.wait()
+            # After a standstill the loop's timers come before what lies in the sockets, and a round run right
+            # away would take every engine for silent. The second sleep lets that turn's readers run out.
+            gevent.sleep(self.step_s)
+            gevent.sleep(0)
             try:
                 self.facade.tick()
             except Exception:  # noqa: BLE001 - the other batches are owed their answers whatever went wrong
                 self.log("round failed: " + traceback.format_exc().replace("\n", " | "))
-            gevent.sleep(self.step_s)
 
     def _client(self, link: socket.socket, peer: tuple[str, int]) -> None:
         session = Session(link, self.facade, self.engines.send, self.buffers,
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -45,6 +45,9 @@
         except Lost as fault:
             trip.drop(f"lost_{fault}")
             self._done(trip, names.RESET)
+        except Exception as fault:  # noqa: BLE001 - without an outcome its batch would never be answered
+            trip.drop(f"fault_{type(fault).__name__}")
+            self._done(trip, names.ERRORED if trip.begun else names.UNSENT)
         except TimeUp:
             trip.drop("time_up")
             self._done(trip, names.TIMED_OUT if trip.begun else names.UNSENT)
@@ -68,6 +71,10 @@
     def _run(self, trip: "Trip") -> None:
         dispatch, batch = trip.dispatch, trip.dispatch.batch
         trip.line = self.pools.borrow(dispatch.address)
+        if not self.facade.stands(dispatch):
+            trip.end()
+            self._done(trip, names.UNSENT)
+            return
         trip.begun = True
         status, fields, body = trip.start(warehouse.start(
             trip.line.host, batch.ticket, batch.group, dispatch.until_us - self.clock(), batch.nonce,
--- a/pathturn/wire/jsonrpc.py
+++ b/pathturn/wire/jsonrpc.py
@@ -45,16 +45,28 @@
         elif not session.knows(method):
             session.fault(number, UNKNOWN)
         else:
-            session.batch(number, method, params["trace"], int(params["patience"] * 1000),
-                          params.get("nonce"), params.get("entity"), params.get("customer"),
-                          int((params.get("weight") or 0) * 1000), params.get("est_mb") or 0,
-                          bool(params.get("redo")), b64decode(params.get("data", "")))
+            session.batch(number, method, _word(params["trace"]), _whole(params["patience"], 1000),
+                          _word(params.get("nonce")), _word(params.get("entity")),
+                          _word(params.get("customer")), _whole(params.get("weight"), 1000),
+                          _whole(params.get("est_mb"), 1), bool(params.get("redo")),
+                          b64decode(params.get("data", ""), validate=True))
     except orjson.JSONDecodeError:
         session.fault(None, MALFORMED)
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
         session.fault(number, UNUSABLE)
 
 
+def _whole(value: float | None, unit: int) -> int:
+    return int(max(0, value or 0) * unit)
+
+
+def _word(value: str | None) -> str | None:
+    """These become header fields: one with a line's end in it would write further ones."""
+    if value is not None and not value.isprintable():
+        raise ValueError("unprintable")
+    return value
+
+
 def _line(number: Any, **told: Any) -> bytes:
     return orjson.dumps({"jsonrpc": "2.0", "id": number, **told}) + b"\n"
 
--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -43,7 +43,7 @@
                         return self.answers.take()
         except OSError as fault:
             raise Lost(type(fault).__name__) from fault
-        except httptools.HttpParserError as fault:
+        except (httptools.HttpParserError, httptools.HttpParserCallbackError) as fault:
             raise Lost("unreadable") from fault
 
     def fresh(self) -> bool:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -201,6 +201,8 @@
             kind, value = "rows", "1"
         elif kind == "drop":
             kind, value = "rows", "1"
+        if kind == "odd":
+            return self.answer(link, 200, [("X-Pages", "nan")])
         if kind in ("rows", "lost"):
             told = [("X-Pages", value or 2), ("X-Cost-Ms", 5), ("X-Needed-Mb", 1),
                     ("X-Meter", "depth:0;concurrent:2")]
@@ -335,6 +337,11 @@
         params |= {name: value for name, value in (("entity", key), ("nonce", nonce)) if value}
         self.raw(orjson.dumps({"id": int(number), "method": group, "params": params}).decode())
 
+    def malformed(self, number, field, value):
+        params = {"trace": "a", "patience": 500, "weight": 1, "est_mb": 1, "data": ""}
+        params[field] = orjson.loads(value)
+        self.raw(orjson.dumps({"id": int(number), "method": "look", "params": params}).decode())
+
     def abort(self, number):
         told = {"trace": f"{int(number):016x}"}
         self.raw(orjson.dumps({"method": "abort", "params": told}).decode())
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+from contextlib import contextmanager
 
 import gevent
 import orjson
@@ -111,24 +112,48 @@
     assert CliRunner().invoke(app, ["data-set", str(statement)]).output == "17\n"
 
 
-def test_a_stopped_process_answers_what_it_took_and_ends_well(rig, tmp_path) -> None:
-    rig.engine("e", "runs:1200")
+@contextmanager
+def process(rig, tmp_path):
     config = tmp_path / "config.json"
     config.write_bytes(orjson.dumps(rig.configuration(rig.spare_address())))
-    process = subprocess.Popen([sys.executable, "-m", "pathturn", "serve"], stderr=subprocess.DEVNULL,
+    running = subprocess.Popen([sys.executable, "-m", "pathturn", "serve"], stderr=subprocess.DEVNULL,
                                env={**os.environ, "EDGE_CONFIG": str(config)})
     try:
         rig.connect()
+        yield running
+    finally:
+        running.kill()
+        running.wait()
+
+
+def test_a_gateway_that_stood_still_hears_what_came_before_it_judges(rig, tmp_path) -> None:
+    rig.set("domain.progressUs", "100000")
+    rig.engine("e", "notes:300", "notes:1800")
+    rig.engine("f", "notes:1800")
+    with process(rig, tmp_path) as running:
+        for number in range(1, 7):
+            rig.call(number, "load", patience="3000")
+        gevent.sleep(0.15)
+        running.send_signal(signal.SIGSTOP)
+        gevent.sleep(1.2)
+        running.send_signal(signal.SIGCONT)
+        for number in range(1, 7):
+            rig.returned(number)
+        asked = [each[0] for engine in rig.engines.values() for each in engine.asked]
+        assert asked.count("POST") == 6 and "DELETE" not in asked
+
+
+def test_a_stopped_process_answers_what_it_took_and_ends_well(rig, tmp_path) -> None:
+    rig.engine("e", "runs:1200")
+    with process(rig, tmp_path) as running:
         rig.call(1, "pay")
         gevent.sleep(0.1)
-        process.send_signal(signal.SIGTERM)
+        running.send_signal(signal.SIGTERM)
         gevent.sleep(0.3)
         rig.call(2, "look")
         rig.errored(1)
         rig.pushed_back(2)
         with gevent.Timeout(3):
-            while process.poll() is None:
+            while running.poll() is None:
                 gevent.sleep(0.02)
-        assert process.returncode == 0
-    finally:
-        process.kill()
+        assert running.returncode == 0
