--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -8,11 +8,15 @@
 from typing import Any
 
 from gevent.event import Event
+from gevent.queue import Empty
 
 from pathturn.core import interface as names
 from pathturn.memory.batches import Batch, Dispatch, End, OpenBatches
 from pathturn.memory.roster import Roster
 
+# The module ends a batch before its time; the protocol leaves 50 ms after it.
+OVERDUE_US = 20_000
+
 
 class Facade:
     def __init__(self, decider: names.Decider, group_index: dict[str, int], clock: Callable[[], int],
@@ -41,7 +45,14 @@
         return batch
 
     def pick(self, batch: Batch) -> Dispatch | End:
-        return batch.steps.get()
+        """Where to send, or how to end. A fault that loses a batch's events must not lose its answer too."""
+        left_us = max(0, batch.until_us + OVERDUE_US - self.clock())
+        try:
+            return batch.steps.get(timeout=left_us / 1e6)
+        except Empty:
+            self.log_line(f"batch {batch.ticket} overdue")
+            self.leave(batch)
+            return End(names.ERRORED)
 
     def leave(self, batch: Batch) -> None:
         """The client no longer waits."""
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent import socket
 from gevent.event import Event
-from gevent.pool import Pool
+from gevent.pool import Group, Pool
 from gevent.server import StreamServer
 
 from pathturn.core import interface as names
@@ -49,7 +49,7 @@
         report = settings.get("report") or {}
         self.engines = Engines(self.facade, self.pools, self.clock, report.get("fields") or [],
                                bool(limits.get("secondCopies")))
-        self.asked_to_stop = Event()
+        self.asked_to_stop, self.parts = Event(), Group()
         serial, rows = directory.known(told["known"])
         self.facade.listing(names.CACHED, rows)
         self.lookup = Lookup(_address(told["names"]), self.facade, settings.get("discovery") == "ask", serial,
@@ -60,7 +60,7 @@
         """Serves until a stop is asked for and nothing taken is open any more."""
         self.server.start()
         for part in (self._rounds, self.lookup.follow, self._prune):
-            gevent.spawn(part)
+            self.parts.spawn(part)
         self.log("ready")
         self.asked_to_stop.wait()
         self._finish()
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -83,17 +83,22 @@
             if (told := warehouse.note(fields)) is not None:
                 self.facade.note(dispatch, *told)
             status, fields, body = trip.ask(0)
-        ended = self.clock()
-        outcome, rows = warehouse.outcome(status, fields), [body]
+        ended, outcome, rows = self.clock(), warehouse.outcome(status, fields), None
         if outcome == names.RETURNED:
-            for number in range(1, int(warehouse.number(fields, "x-pages") or 1)):
-                status, told, body = trip.ask(number)
-                if status != 200 or told.get("x-page") != str(number):
-                    outcome = names.ERRORED
-                    break
-                rows.append(body)
+            rows = self._rows(trip, int(warehouse.number(fields, "x-pages") or 1), body)
+            outcome = names.ERRORED if rows is None else outcome
         trip.end()
-        self._done(trip, outcome, ended, fields, b"".join(rows))
+        self._done(trip, outcome, ended, fields, rows or b"")
+
+    def _rows(self, trip: "Trip", pages: int, first: bytes) -> bytes | None:
+        """The whole result, or None where the engine has lost a part of it."""
+        rows = [first]
+        for number in range(1, pages):
+            status, fields, body = trip.ask(number)
+            if status != 200 or fields.get("x-page") != str(number):
+                return None
+            rows.append(body)
+        return b"".join(rows)
 
     def _done(self, trip: "Trip", outcome: str, ended: int = 0, fields: dict[str, str] | None = None,
               rows: bytes = b"") -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -326,6 +326,7 @@
             each.stop(0)
         if self.gateway is not None:
             self.gateway.server.stop(0)
+            self.gateway.parts.kill()
         gevent.killall(self.greenlets)
 
     def raw(self, *words):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -112,6 +112,20 @@
     assert CliRunner().invoke(app, ["data-set", str(statement)]).output == "17\n"
 
 
+def test_a_round_that_fails_loses_no_answer(rig, monkeypatch) -> None:
+    rig.engine("e", "runs:200")
+    rig.start()
+    gevent.sleep(0.05)
+    with monkeypatch.context() as patch:
+        patch.setattr(rig.gateway.facade.decider, "round", lambda *_: 1 // 0)
+        rig.call(1, "look", patience="300")
+        gevent.sleep(0.05)
+    rig.call(2, "look")
+    rig.errored(1, within="450")
+    rig.returned(2)
+    rig.idle()
+
+
 @contextmanager
 def process(rig, tmp_path):
     config = tmp_path / "config.json"
