--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -249,7 +249,7 @@
 
     def __init__(self):
         self.engines, self.states, self.answers, self.serial = {}, {}, {}, 1
-        self.gateway, self.greenlets, self.limit = None, [], 200
+        self.gateway, self.greenlets, self.limit, self.silent = None, [], 200, False
         self.settings = {
             "classes": [{"name": name, "promiseUs": 400_000, "deadlineUs": limit * 1000, "effect": effect,
                          "worth": 1.0, "lateValue": 1.0, **more}
@@ -264,6 +264,12 @@
         part, name = path.split(".")
         self.settings.setdefault(part, {})[name] = orjson.loads(value)
 
+    def asks_list(self):
+        self.settings["discovery"] = "ask"
+
+    def directory_silent(self, word):
+        self.silent = word == "yes"
+
     def engine(self, name, *words):
         self.engines[name], self.states[name] = StandInEngine(words), "in_service"
 
@@ -285,6 +291,8 @@
                 "known": {"index": 1, "updates": [{"endpoints": {"full": True, "servers": servers}}]}}
 
     def directory(self, packet, peer):
+        if self.silent:
+            return
         reply = DNSRecord.parse(packet).reply()
         for name, engine in self.engines.items():
             if self.states[name] != "gone":
