--- a/pathturn/cli.py
+++ b/pathturn/cli.py
@@ -1,8 +1,10 @@
 """The command line."""
 
 import signal
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import orjson
 import typer
@@ -15,28 +17,48 @@
 VERSION = "0.2.0"
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
 StatementFile = Annotated[typer.FileText, typer.Argument(help="a file, or - for standard input")]
-ConfigFile = Annotated[Path, typer.Argument(envvar="EDGE_CONFIG", help="the configuration file")]
+ConfigFile = Annotated[Path | None, typer.Argument(envvar="EDGE_CONFIG", help="the configuration file",
+                                            show_default=False)]
+
+
+@contextmanager
+def plain_faults() -> Iterator[None]:
+    """One line for whoever starts it, in place of a trace, for what is wrong with the configuration."""
+    try:
+        yield
+    except (OSError, KeyError, TypeError, ValueError, AttributeError) as fault:
+        typer.echo(f"pathturn: the configuration cannot be used: {type(fault).__name__}: {fault}", err=True)
+        raise typer.Exit(2) from None
+
+
+def _read(config: Path | None) -> dict[str, Any]:
+    if config is None:
+        raise ValueError("neither an argument nor EDGE_CONFIG names a file")
+    return orjson.loads(config.read_bytes())
 
 
 @app.command()
-def serve(config: ConfigFile) -> None:
+def serve(config: ConfigFile = None) -> None:
     """Run one gateway in the foreground until SIGTERM."""
     import gevent  # here, since only this command needs the event loop
 
     from pathturn.process.gateway import GatewayProcess
 
-    gateway = GatewayProcess(orjson.loads(config.read_bytes()))
+    with plain_faults():
+        gateway = GatewayProcess(_read(config))
+        gateway.server.start()
     gevent.signal_handler(signal.SIGTERM, gateway.asked_to_stop.set)
     gateway.run()
 
 
 @app.command()
-def check(config: ConfigFile) -> None:
+def check(config: ConfigFile = None) -> None:
     """Read a configuration and print what a gateway would start with."""
-    told = orjson.loads(config.read_bytes())
-    serial, rows = directory.known(told["known"])
-    _, groups = build(int(told["seed"], 16), told["settings"])
-    clients, engines = shares(told["limits"]["sockets"])
+    with plain_faults():
+        told = _read(config)
+        serial, rows = directory.known(told["known"])
+        _, groups = build(int(told["seed"], 16), told["settings"])
+        clients, engines = shares(told["limits"]["sockets"])
     typer.echo(f"{told['name']} on {told['listen']}, list of event {serial}, from {told['names']}")
     typer.echo(f"connections: {clients} from clients, {engines} to engines")
     typer.echo("service groups: " + ", ".join(groups))
--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -5,6 +5,8 @@
 
 from gevent.queue import SimpleQueue
 
+from pathturn.memory.roster import Place
+
 
 class End:
     """How a batch ends; `how` is None when nobody waits for the answer any more."""
@@ -18,12 +20,12 @@
 class Batch:
     """What the gateway itself needs of an open batch; what decides on it lies in the module."""
 
-    __slots__ = ("index", "ticket", "group", "nonce", "statement", "until_us", "steps", "over", "sent", "out",
-                 "priority", "grant_mb")
+    __slots__ = ("index", "ticket", "group", "nonce", "keyed", "statement", "until_us", "steps", "over",
+                 "sent", "out", "priority", "grant_mb")
 
-    def __init__(self, index: int, ticket: str, group: str, nonce: str | None, statement: bytes,
+    def __init__(self, index: int, ticket: str, group: str, nonce: str | None, keyed: bool, statement: bytes,
                  until_us: int) -> None:
-        self.index, self.ticket, self.group, self.nonce = index, ticket, group, nonce
+        self.index, self.ticket, self.group, self.nonce, self.keyed = index, ticket, group, nonce, keyed
         self.statement, self.until_us = statement, until_us
         self.steps: SimpleQueue = SimpleQueue()
         self.over, self.sent, self.priority, self.grant_mb = False, 0, 1, 0.0
@@ -38,12 +40,11 @@
 class Dispatch:
     """One dispatch. Whoever carries it sets `stop`, so that it can be called back meanwhile."""
 
-    __slots__ = ("batch", "number", "engine", "address", "until_us", "sent_us", "called_back", "stop",
+    __slots__ = ("batch", "number", "engine", "place", "until_us", "sent_us", "called_back", "stop",
                  "rerank")
 
-    def __init__(self, batch: Batch, engine: int, address: tuple[str, int], now_us: int,
-                 until_us: int) -> None:
-        self.batch, self.number, self.engine, self.address = batch, batch.sent, engine, address
+    def __init__(self, batch: Batch, place: Place, now_us: int, until_us: int) -> None:
+        self.batch, self.number, self.engine, self.place = batch, batch.sent, place[0], place
         self.sent_us, self.until_us, self.called_back = now_us, until_us, False
         self.stop: Callable[[], None] | None = None
         self.rerank: Callable[[int], None] | None = None
@@ -60,8 +61,9 @@
     def __init__(self) -> None:
         self.numbers, self.by_index = count(), {}
 
-    def open(self, ticket: str, group: str, nonce: str | None, statement: bytes, until_us: int) -> Batch:
-        batch = Batch(next(self.numbers), ticket, group, nonce, statement, until_us)
+    def open(self, ticket: str, group: str, nonce: str | None, keyed: bool, statement: bytes,
+             until_us: int) -> Batch:
+        batch = Batch(next(self.numbers), ticket, group, nonce, keyed, statement, until_us)
         self.by_index[batch.index] = batch
         return batch
 
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -39,7 +39,8 @@
     def take(self, ticket: str, group: str, left_us: int, nonce: str | None, key: str | None,
              customer: str | None, work_us: int, memory_mb: float, data_set: int, repeat: bool,
              statement: bytes) -> Batch:
-        batch = self.batches.open(ticket, group, nonce, statement, self.clock() + left_us)
+        until_us = self.clock() + left_us
+        batch = self.batches.open(ticket, group, nonce, key is not None, statement, until_us)
         self._tell("batch", batch.index, self.group_index[group], customer, key, left_us, work_us, memory_mb,
                    data_set, repeat)
         return batch
@@ -112,7 +113,7 @@
     # The writer's side: what the module decides.
     def dispatch(self, batch: int, engine: int, limit_us: int) -> None:
         held, now = self.batches.by_index[batch], self.clock()
-        dispatch = Dispatch(held, engine, self.roster.address[engine], now, now + limit_us)
+        dispatch = Dispatch(held, self.roster.place[engine], now, now + limit_us)
         held.out[held.sent] = dispatch
         held.sent += 1
         held.steps.put(dispatch)
--- a/pathturn/memory/pools.py
+++ b/pathturn/memory/pools.py
@@ -5,6 +5,7 @@
 
 from gevent.lock import BoundedSemaphore
 
+from pathturn.memory.roster import Place
 from pathturn.wire.line import Line
 
 # Idle connections are closed in half the time after which the engines do: a call must not cross such a close.
@@ -13,14 +14,14 @@
 
 class Pools:
     def __init__(self, cap: int, idle_us: int, dial_us: int, clock: Callable[[], int],
-                 dial: Callable[[tuple[str, int], float], Line]) -> None:
-        self.room, self.clock, self.dial = BoundedSemaphore(cap), clock, dial
+                 dial: Callable[[Place, float], Line], log: Callable[[str], None]) -> None:
+        self.room, self.clock, self.dial, self.log = BoundedSemaphore(cap), clock, dial, log
         self.idle_us, self.dial_s = idle_us // EARLIER, dial_us / 1e6
-        self.idle: dict[tuple[str, int], list[Line]] = defaultdict(list)
+        self.idle: dict[Place, list[Line]] = defaultdict(list)
         self.waiting = 0
 
-    def borrow(self, address: tuple[str, int], new: bool = False) -> Line:
-        waiting = self.idle[address]
+    def borrow(self, place: Place, new: bool = False) -> Line:
+        waiting = self.idle[place]
         while waiting and not new:
             line = waiting.pop()
             if line.fresh():
@@ -28,7 +29,7 @@
             self.drop(line, "engine_closed")
         self._take_room()
         try:
-            return self.dial(address, self.dial_s)
+            return self.dial(place, self.dial_s)
         except BaseException:
             self.room.release()
             raise
@@ -38,7 +39,7 @@
             self.drop(line, "room" if self.waiting else "engine_closes")
             return
         line.idle_us = self.clock()
-        self.idle[line.address].append(line)
+        self.idle[line.place].append(line)
 
     def prune(self) -> None:
         oldest = self.clock() - self.idle_us
@@ -46,10 +47,10 @@
             while waiting and waiting[0].idle_us <= oldest:
                 self.drop(waiting.pop(0), "idle")
 
-    def keep_only(self, addresses: set[tuple[str, int]]) -> None:
-        """Drops what is idle to engines that have gone; another may listen at the address next."""
-        for address in self.idle.keys() - addresses:
-            for line in self.idle.pop(address):
+    def keep_only(self, places: set[Place]) -> None:
+        """Drops what is idle to engines that have gone: another may have the address next."""
+        for place in self.idle.keys() - places:
+            for line in self.idle.pop(place):
                 self.drop(line, "engine_gone")
 
     def _take_room(self) -> None:
@@ -59,6 +60,7 @@
         fullest = max(self.idle.values(), key=len, default=None)
         if fullest:
             self.drop(fullest.pop(0), "room")
+        self.log("no connection to engines is free")
         self.waiting += 1
         try:
             self.room.acquire()
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -1,5 +1,6 @@
 """Puts a gateway together, starts it, and stops it when asked to."""
 
+import gc
 import traceback
 from typing import Any
 
@@ -45,7 +46,7 @@
         self.buffers = Buffers()
         self.pools = Pools(engines, limits.get("idleCloseUs") or 1_000_000,
                            limits.get("dialTimeoutUs") or 250_000, self.clock,
-                           lambda address, dial_s: Line(address, dial_s, self.buffers, self.log))
+                           lambda place, dial_s: Line(place, dial_s, self.buffers, self.log), self.log)
         report = settings.get("report") or {}
         self.engines = Engines(self.facade, self.pools, self.clock, report.get("fields") or [],
                                bool(limits.get("secondCopies")))
@@ -53,14 +54,17 @@
         serial, rows = directory.known(told["known"])
         self.facade.listing(names.CACHED, rows)
         self.lookup = Lookup(_address(told["names"]), self.facade, settings.get("discovery") == "ask", serial,
-                             self.pools.keep_only)
+                             lambda: self.pools.keep_only(self.facade.roster.places))
         self.server = StreamServer(_address(told["listen"]), self._client, backlog=1024, spawn=Pool(clients))
 
     def run(self) -> None:
         """Serves until a stop is asked for and nothing taken is open any more."""
-        self.server.start()
+        if not self.server.started:
+            self.server.start()
         for part in (self._rounds, self.lookup.follow, self._prune):
             self.parts.spawn(part)
+        # What is there by now stays: the collector's longest passes need not go over it again and again.
+        gc.freeze()
         self.log("ready")
         self.asked_to_stop.wait()
         self._finish()
--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
-import gevent
 from gevent import socket
 from gevent.lock import RLock
+from gevent.pool import Group
 
 from pathturn.core import interface as names
 from pathturn.memory.batches import Batch, Dispatch, End
@@ -19,7 +19,7 @@
     def __init__(self, link: socket.socket, facade: Facade, send: Callable[[Dispatch], None],
                  buffers: Buffers, ready: Callable[[], bool]) -> None:
         self.link, self.facade, self.send, self.buffers, self.ready = link, facade, send, buffers, ready
-        self.writing, self.open, self.taken = RLock(), {}, 0
+        self.writing, self.open, self.answering, self.taken = RLock(), {}, Group(), 0
         link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def serve(self) -> str:
@@ -28,8 +28,11 @@
             return self._read()
         except OSError as fault:
             return f"lost_{type(fault).__name__}"
-        except jsonrpc.Overlong:
-            return "overlong_line"
+        except jsonrpc.Unusable as fault:
+            # Whatever was taken before is still owed its answer.
+            self.fault(None, jsonrpc.MALFORMED)
+            self.answering.join()
+            return str(fault)
         finally:
             for batch in list(self.open.values()):
                 self.facade.leave(batch)
@@ -70,11 +73,14 @@
 
     def batch(self, number: Any, group: str, ticket: str, left_us: int, nonce: str | None, key: str | None,
               customer: str | None, work_us: int, memory_mb: float, repeat: bool, statement: bytes) -> None:
+        if number in self.open:
+            # An answer under this number would be taken for the first one's.
+            raise jsonrpc.Unusable("id_used_twice")
         batch = self.facade.take(ticket, group, left_us, nonce, key, customer, work_us, memory_mb,
                                  data_set(statement.decode("utf-8", "replace")), repeat, statement)
         self.open[number] = batch
         self.taken += 1
-        gevent.spawn(self._see_through, number, batch)
+        self.answering.spawn(self._see_through, number, batch)
 
     def _see_through(self, number: Any, batch: Batch) -> None:
         while isinstance(step := self.facade.pick(batch), Dispatch):
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -9,7 +9,7 @@
 from pathturn.memory.facade import Facade
 from pathturn.memory.pools import Pools
 from pathturn.wire import warehouse
-from pathturn.wire.line import Line, Lost, Unreachable
+from pathturn.wire.line import Line, Lost, Unreachable, Unsent
 
 
 class CalledBack(gevent.GreenletExit):
@@ -44,7 +44,7 @@
             self._done(trip, names.UNREACHABLE)
         except Lost as fault:
             trip.drop(f"lost_{fault}")
-            self._done(trip, names.RESET)
+            self._done(trip, names.UNSENT if isinstance(fault, Unsent) else names.RESET)
         except Exception as fault:  # noqa: BLE001 - without an outcome its batch would never be answered
             trip.drop(f"fault_{type(fault).__name__}")
             self._done(trip, names.ERRORED if trip.begun else names.UNSENT)
@@ -60,8 +60,10 @@
     def _call_back(self, trip: "Trip") -> None:
         # Never beyond the batch's own time: as long as the outcome is missing, nothing can end the batch.
         with gevent.Timeout(self._left_s(trip.dispatch), False):
-            if trip.begun and not self._give_up(trip.dispatch) and not self.copies_allowed:
-                # Against two dispatches at once: unasked for this long, the first has ended by itself.
+            alone = trip.dispatch.batch.keyed or not self.copies_allowed
+            if trip.begun and not self._give_up(trip.dispatch) and alone:
+                # Against two dispatches at once, of a batch or of its key: unasked for this long, the first
+                # has ended by itself.
                 gevent.sleep(warehouse.FORGOTTEN_US / 1e6)
         self._done(trip, names.CANCELLED if trip.begun else names.UNSENT)
 
@@ -70,7 +72,7 @@
 
     def _run(self, trip: "Trip") -> None:
         dispatch, batch = trip.dispatch, trip.dispatch.batch
-        trip.line = self.pools.borrow(dispatch.address)
+        trip.line = self.pools.borrow(dispatch.place)
         if not self.facade.stands(dispatch):
             trip.end()
             self._done(trip, names.UNSENT)
@@ -120,7 +122,7 @@
         trip = Trip(dispatch, self.pools)
         try:
             with gevent.Timeout(self.pools.dial_s, TimeUp):
-                trip.line = self.pools.borrow(dispatch.address)
+                trip.line = self.pools.borrow(dispatch.place)
                 trip.line.call(request(trip.line.host, dispatch.batch.ticket))
             trip.end()
             return True
@@ -153,13 +155,15 @@
         try:
             return self.line.call(request)
         except Lost as fault:
+            if isinstance(fault, Unsent) and request is not again:
+                raise  # a start that never went out whole: there is no news to ask for
             self.lost += 1
             self.drop(f"lost_{fault}")
         try:
-            self.line = self.pools.borrow(self.dispatch.address, new=True)
-        except Unreachable as fault:
+            self.line = self.pools.borrow(self.dispatch.place, new=True)
+            return self.line.call(again)
+        except (Unreachable, Unsent) as fault:
             raise Lost("engine_down") from fault
-        return self.line.call(again)
 
     def end(self) -> None:
         line, self.line = self.line, None
--- a/pathturn/wire/jsonrpc.py
+++ b/pathturn/wire/jsonrpc.py
@@ -11,8 +11,8 @@
 LONGEST_LINE = 1 << 20  # a client that never ends its line must not fill the memory
 
 
-class Overlong(Exception):
-    """A line that passes what any statement may need."""
+class Unusable(Exception):
+    """Bytes after which nothing more of the stream can be trusted; its text is the reason's code."""
 
 
 class Lines:
@@ -24,7 +24,7 @@
     def feed(self, piece: memoryview) -> Iterator[bytes]:
         self.rest += piece
         if len(self.rest) > LONGEST_LINE and b"\n" not in piece.tobytes():
-            raise Overlong
+            raise Unusable("overlong_line")
         while (end := self.rest.find(b"\n")) >= 0:
             line = bytes(self.rest[:end])
             del self.rest[:end + 1]
@@ -33,11 +33,14 @@
 
 
 def read(line: bytes, session: Any) -> None:
-    """Turns a line into one call of the session; what cannot be read is answered, never dropped."""
-    number = None
+    """Turns a line into one call of the session; what cannot be read is answered where its id is known."""
     try:
         message = orjson.loads(line)
-        number, method, params = message.get("id"), message["method"], message.get("params") or {}
+        number = message.get("id")
+    except (orjson.JSONDecodeError, AttributeError) as fault:
+        raise Unusable("malformed_line") from fault
+    try:
+        method, params = message["method"], message.get("params") or {}
         if method == "ping":
             session.ping(number)
         elif method == "abort":
@@ -50,8 +53,6 @@
                           _word(params.get("customer")), _whole(params.get("weight"), 1000),
                           _whole(params.get("est_mb"), 1), bool(params.get("redo")),
                           b64decode(params.get("data", ""), validate=True))
-    except orjson.JSONDecodeError:
-        session.fault(None, MALFORMED)
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
         session.fault(number, UNUSABLE)
 
--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -6,6 +6,7 @@
 from gevent import socket
 
 from pathturn.memory.buffers import Buffers
+from pathturn.memory.roster import Place
 from pathturn.wire.http import Answers
 
 
@@ -17,10 +18,14 @@
     """The connection ended, or became unreadable, before the answer was whole."""
 
 
+class Unsent(Lost):
+    """It ended before the call had gone out whole, which proves that nothing came of it."""
+
+
 class Line:
-    def __init__(self, address: tuple[str, int], dial_s: float, buffers: Buffers,
-                 log: Callable[[str], None]) -> None:
-        self.address, self.host = address, f"{address[0]}:{address[1]}"
+    def __init__(self, place: Place, dial_s: float, buffers: Buffers, log: Callable[[str], None]) -> None:
+        _, address = self.place = place
+        self.host = f"{address[0]}:{address[1]}"
         self.buffers, self.log, self.answers, self.calls = buffers, log, Answers(), 0
         self.idle_us = 0
         try:
@@ -34,6 +39,9 @@
         self.calls += 1
         try:
             self.socket.sendall(request)
+        except OSError as fault:
+            raise Unsent(type(fault).__name__) from fault
+        try:
             with self.buffers.lent() as buffer:
                 while True:
                     size = self.socket.recv_into(buffer)
--- a/pathturn/wire/lookup.py
+++ b/pathturn/wire/lookup.py
@@ -16,7 +16,7 @@
 
 class Lookup:
     def __init__(self, address: tuple[str, int], facade: Facade, asks: bool, last: int,
-                 changed: Callable[[set[tuple[str, int]]], None]) -> None:
+                 changed: Callable[[], None]) -> None:
         self.address, self.facade, self.asks = address, facade, asks
         self.last, self.number, self.raw, self.changed = last, 0, b"", changed
 
@@ -55,5 +55,5 @@
         if serial > self.last:
             self.last = serial
             self.facade.listing(names.WHOLE, rows)
-            self.changed({row[1] for row in rows})
+            self.changed()
         return True
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -249,7 +249,7 @@
 
     def __init__(self):
         self.engines, self.states, self.answers, self.serial = {}, {}, {}, 1
-        self.gateway, self.greenlets, self.limit, self.silent = None, [], 200, False
+        self.gateway, self.greenlets, self.limit, self.silent, self.ended = None, [], 200, False, False
         self.settings = {
             "classes": [{"name": name, "promiseUs": 400_000, "deadlineUs": limit * 1000, "effect": effect,
                          "worth": 1.0, "lateValue": 1.0, **more}
@@ -328,6 +328,7 @@
         for line in client.makefile("rb"):
             message = orjson.loads(line)
             self.answers.setdefault(message["id"], []).append((monotonic(), message))
+        self.ended = True
 
     def close(self):
         for each in [*(engine.server for engine in self.engines.values()), self.names]:
@@ -355,6 +356,10 @@
         told = {"trace": f"{int(number):016x}"}
         self.raw(orjson.dumps({"method": "abort", "params": told}).decode())
 
+    def closed(self):
+        gevent.sleep(0.1)
+        assert self.ended, "the connection is still open"
+
     def hang_up(self):
         self.client.shutdown(socket.SHUT_RDWR)
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -40,7 +40,7 @@
     lines, text = jsonrpc.Lines(), b'{"id":1}\n\n{"id":2}\n{"id":3}\n'
     found = [line for at in range(0, len(text), 5) for line in lines.feed(memoryview(text[at:at + 5]))]
     assert found == [b'{"id":1}', b'{"id":2}', b'{"id":3}']
-    with pytest.raises(jsonrpc.Overlong):
+    with pytest.raises(jsonrpc.Unusable):
         list(lines.feed(memoryview(bytes(jsonrpc.LONGEST_LINE + 1))))
 
 
@@ -126,6 +126,16 @@
     rig.idle()
 
 
+@pytest.mark.parametrize("text", ["", "{}", '{"name": 7', '{"name":"n","settings":{},"seed":"0","known":1}'])
+def test_a_configuration_that_cannot_be_used_is_one_line_and_code_2(text: str, tmp_path) -> None:
+    config = tmp_path / "config.json"
+    config.write_text(text)
+    for command in ("serve", "check"):
+        told = CliRunner().invoke(app, [command, str(config)])
+        assert told.exit_code == 2 and len(told.output.splitlines()) == 1, told.output
+    assert CliRunner().invoke(app, ["serve", str(tmp_path / "none")]).exit_code == 2
+
+
 @contextmanager
 def process(rig, tmp_path):
     config = tmp_path / "config.json"
