Read once more: one reader of addresses, less state in roster and dispatch, dead branch out

No behaviour changes. host:port was taken apart in two places (process/gateway.py, wire/directory.py); an engine's place was kept in a list filled in two steps, and a dispatch kept the engine beside the place that holds it; run() started a server that the command line had started already; the lexer's branch for a tag was never reached (a probe shows that the outer group is the one reported).

--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -40,15 +40,19 @@
 class Dispatch:
     """One dispatch. Whoever carries it sets `stop`, so that it can be called back meanwhile."""
 
-    __slots__ = ("batch", "number", "engine", "place", "until_us", "sent_us", "called_back", "stop",
+    __slots__ = ("batch", "number", "place", "until_us", "sent_us", "called_back", "stop",
                  "rerank")
 
     def __init__(self, batch: Batch, place: Place, now_us: int, until_us: int) -> None:
-        self.batch, self.number, self.engine, self.place = batch, batch.sent, place[0], place
+        self.batch, self.number, self.place = batch, batch.sent, place
         self.sent_us, self.until_us, self.called_back = now_us, until_us, False
         self.stop: Callable[[], None] | None = None
         self.rerank: Callable[[int], None] | None = None
 
+    @property
+    def engine(self) -> int:
+        return self.place[0]
+
     def call_back(self) -> None:
         """Once only: a second one would strike the greenlet while it takes the first to the engine."""
         stop = None if self.called_back else self.stop
--- a/pathturn/memory/roster.py
+++ b/pathturn/memory/roster.py
@@ -9,7 +9,7 @@
 class Roster:
     def __init__(self) -> None:
         self.index_of: dict[str, int] = {}
-        self.place: list[Place] = []
+        self.place: dict[int, Place] = {}
         self.ready: set[int] = set()
         self.places: set[Place] = set()
 
@@ -17,9 +17,7 @@
         """The list with ids as indices, for the decision module; an id keeps its index when it comes back."""
         rows, ready = [], set()
         for identity, address, zone, machine, cell, state, size, started_ms in told:
-            index = self.index_of.setdefault(identity, len(self.place))
-            if index == len(self.place):
-                self.place.append((index, address))
+            index = self.index_of.setdefault(identity, len(self.index_of))
             self.place[index] = (index, address)
             if state == READY:
                 ready.add(index)
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -29,11 +29,6 @@
 STILL_COMING_S = 0.7
 
 
-def _address(text: str) -> tuple[str, int]:
-    host, port = text.rsplit(":", 1)
-    return host, int(port)
-
-
 class GatewayProcess:
     def __init__(self, told: dict[str, Any]) -> None:
         settings, self.clock, self.log = told["settings"], unix_clock(), Log(told["name"])
@@ -53,14 +48,14 @@
         self.asked_to_stop, self.parts = Event(), Group()
         serial, rows = directory.known(told["known"])
         self.facade.listing(names.CACHED, rows)
-        self.lookup = Lookup(_address(told["names"]), self.facade, settings.get("discovery") == "ask", serial,
+        self.lookup = Lookup(directory.address(told["names"]), self.facade,
+                             settings.get("discovery") == "ask", serial,
                              lambda: self.pools.keep_only(self.facade.roster.places))
-        self.server = StreamServer(_address(told["listen"]), self._client, backlog=1024, spawn=Pool(clients))
+        self.server = StreamServer(directory.address(told["listen"]), self._client, backlog=1024,
+                                   spawn=Pool(clients))
 
     def run(self) -> None:
-        """Serves until a stop is asked for and nothing taken is open any more."""
-        if not self.server.started:
-            self.server.start()
+        """Serves, once its server has been started, until a stop is asked for and nothing taken is open."""
         for part in (self._rounds, self.lookup.follow, self._prune):
             self.parts.spawn(part)
         # What is there by now stays: the collector's longest passes need not go over it again and again.
--- a/pathturn/wire/directory.py
+++ b/pathturn/wire/directory.py
@@ -17,6 +17,11 @@
     """An answer that is none, or not whole."""
 
 
+def address(text: str) -> tuple[str, int]:
+    host, port = text.rsplit(":", 1)
+    return host, int(port)
+
+
 def known(told: dict[str, Any]) -> tuple[int, list[tuple]]:
     """Number of the last event, and the list that all of them together make."""
     rows: dict[str, tuple] = {}
@@ -26,8 +31,7 @@
             rows.clear()
         for each in endpoints["servers"]:
             state = STATES.get(each["state"], names.GONE)
-            host, port = each["addr"].rsplit(":", 1)
-            rows[each["id"]] = (each["id"], (host, int(port)), each["zone"], each["kind"], each["cell"],
+            rows[each["id"]] = (each["id"], address(each["addr"]), each["zone"], each["kind"], each["cell"],
                                 state, each.get("weight", 1), each.get("started_ms") or 0)
     return told.get("index", 0), [row for row in rows.values() if row[5] != names.GONE]
 
--- a/pathturn/wire/statement.py
+++ b/pathturn/wire/statement.py
@@ -19,8 +19,6 @@
     found = []
     for match in TOKEN.finditer(statement):
         kind, text = match.lastgroup, match.group()
-        if kind == "tag":
-            kind = "text"
         if kind == "quoted":
             found.append(text[1:-1])
         elif kind in ("word", "other"):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -222,6 +222,7 @@
                 f"Content-Length: {len(body)}", "", ""]
         link.sendall("\r\n".join(head).encode() + body)
 
+
 def read_request(link):
     data = b""
     while b"\r\n\r\n" not in data:
@@ -306,6 +307,7 @@
 
     def start(self):
         self.gateway = GatewayProcess(self.configuration(self.spare_address()))
+        self.gateway.server.start()
         self.greenlets.append(gevent.spawn(self.gateway.run))
         self.connect()
 
@@ -341,20 +343,22 @@
     def raw(self, *words):
         self.client.sendall(" ".join(words).encode() + b"\n")
 
+    def say(self, **message):
+        self.raw(orjson.dumps(message).decode())
+
     def call(self, number, group, patience="1000", key=None, nonce=None):
         params = {"trace": f"{int(number):016x}", "patience": int(patience), "weight": 100, "est_mb": 1,
                   "data": b64encode(b"SELECT 1 FROM sales_3.orders").decode()}
         params |= {name: value for name, value in (("entity", key), ("nonce", nonce)) if value}
-        self.raw(orjson.dumps({"id": int(number), "method": group, "params": params}).decode())
+        self.say(id=int(number), method=group, params=params)
 
     def malformed(self, number, field, value):
         params = {"trace": "a", "patience": 500, "weight": 1, "est_mb": 1, "data": ""}
         params[field] = orjson.loads(value)
-        self.raw(orjson.dumps({"id": int(number), "method": "look", "params": params}).decode())
+        self.say(id=int(number), method="look", params=params)
 
     def abort(self, number):
-        told = {"trace": f"{int(number):016x}"}
-        self.raw(orjson.dumps({"method": "abort", "params": told}).decode())
+        self.say(method="abort", params={"trace": f"{int(number):016x}"})
 
     def closed(self):
         gevent.sleep(0.1)
