SIGHUP reads the configuration again and follows the directory that it names

Cause: no handler for SIGHUP (cli.py, serve), and the directory's socket was connected once for good (wire/lookup.py, follow). Ruled out: SIGTERM (none had come by then), the configuration file (never read a second time). The address in force is followed by a greenlet of its own, asked at once; the number of the last event carries on, the last raw answer does not. A file that cannot be used leaves the old one in force with one log line.

--- a/pathturn/cli.py
+++ b/pathturn/cli.py
@@ -39,15 +39,17 @@
 
 @app.command()
 def serve(config: ConfigFile = None) -> None:
-    """Run one gateway in the foreground until SIGTERM."""
+    """Run one gateway in the foreground until SIGTERM; SIGHUP has it read its configuration again."""
     import gevent  # here, since only this command needs the event loop
 
     from pathturn.process.gateway import GatewayProcess
 
     with plain_faults():
         gateway = GatewayProcess(_read(config))
+        # Before the first connection: without a handler of its own either signal ends the process at once.
+        gevent.signal_handler(signal.SIGTERM, gateway.asked_to_stop.set)
+        gevent.signal_handler(signal.SIGHUP, gateway.reload, lambda: _read(config))
         gateway.server.start()
-    gevent.signal_handler(signal.SIGTERM, gateway.asked_to_stop.set)
     gateway.run()
 
 
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -2,6 +2,7 @@
 
 import gc
 import traceback
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -48,15 +49,16 @@
         self.asked_to_stop, self.parts = Event(), Group()
         serial, rows = directory.known(told["known"])
         self.facade.listing(names.CACHED, rows)
-        self.lookup = Lookup(directory.address(told["names"]), self.facade,
-                             settings.get("discovery") == "ask", serial,
+        self.names = directory.address(told["names"])
+        self.lookup = Lookup(self.facade, settings.get("discovery") == "ask", serial,
                              lambda: self.pools.keep_only(self.facade.roster.places))
         self.server = StreamServer(directory.address(told["listen"]), self._client, backlog=1024,
                                    spawn=Pool(clients))
 
     def run(self) -> None:
         """Serves, once its server has been started, until a stop is asked for and nothing taken is open."""
-        for part in (self._rounds, self.lookup.follow, self._prune):
+        self.lookup.follow(self.names)
+        for part in (self._rounds, self._prune):
             self.parts.spawn(part)
         # What is there by now stays: the collector's longest passes need not go over it again and again.
         gc.freeze()
@@ -64,6 +66,19 @@
         self.asked_to_stop.wait()
         self._finish()
 
+    def reload(self, read: Callable[[], dict[str, Any]]) -> None:
+        """SIGHUP: another directory may be named. What cannot be used, as a file that is still being written,
+        leaves everything as it is; what is open goes on in any case."""
+        try:
+            address = directory.address(read()["names"])
+        except Exception as fault:  # noqa: BLE001 - whatever is in that file, the gateway goes on serving
+            self.log(f"reload code=unusable_{type(fault).__name__}")
+            return
+        self.log(f"reload code=ok names={address[0]}:{address[1]}")
+        if address != self.names:
+            self.names = address
+            self.lookup.follow(address)
+
     def _rounds(self) -> None:
         """One round for all that came in within the settings' step."""
         while True:
--- a/pathturn/wire/lookup.py
+++ b/pathturn/wire/lookup.py
@@ -15,31 +15,39 @@
 
 
 class Lookup:
-    def __init__(self, address: tuple[str, int], facade: Facade, asks: bool, last: int,
-                 changed: Callable[[], None]) -> None:
-        self.address, self.facade, self.asks = address, facade, asks
-        self.last, self.number, self.raw, self.changed = last, 0, b"", changed
+    def __init__(self, facade: Facade, asks: bool, last: int, changed: Callable[[], None]) -> None:
+        self.facade, self.asks, self.changed = facade, asks, changed
+        self.last, self.number, self.raw = last, 0, b""
+        self.following: gevent.Greenlet | None = None
 
-    def follow(self) -> None:
+    def follow(self, address: tuple[str, int]) -> None:
+        """From now on this directory, asked at once and not after the old one's patience. Its events carry on
+        the old one's numbers, but the old one's last answer is no measure for its first."""
+        if self.following is not None:
+            self.following.kill(block=False)
+        self.raw = b""
+        self.following = gevent.spawn(self._follow, address)
+
+    def _follow(self, address: tuple[str, int]) -> None:
         """Where the list comes by itself it is asked for always, else while the module wants it."""
-        link = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        link.connect(self.address)
         while True:
             if self.asks:
                 self.facade.follows_list.wait()
-            if not self._ask(link) and self.asks:
+            if not self._ask(address) and self.asks:
                 self.facade.follows_list.clear()
                 self.facade.listing(names.FAILED, [])
             gevent.sleep(EVERY_S)
 
-    def _ask(self, link: socket.socket) -> bool:
+    def _ask(self, address: tuple[str, int]) -> bool:
         self.number = (self.number + 1) % 65536
         try:
-            link.send(directory.question(self.number))
-            with gevent.Timeout(PATIENCE_S):
-                while True:
-                    if self._hear(link.recv(LARGEST)):
-                        return True
+            # A socket for each question: a fault of one, or what still comes late to it, ends with it.
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as link, gevent.Timeout(PATIENCE_S):
+                link.connect(address)
+                link.send(directory.question(self.number))
+                while not self._hear(link.recv(LARGEST)):
+                    pass
+                return True
         except (OSError, gevent.Timeout):
             return False
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -188,6 +188,9 @@
             elif self.queries.pop(path.split("/")[2], ("",))[0] != "mute":
                 self.answer(link, 204)
 
+    def posts(self):
+        return [each for each in self.asked if each[0] == "POST"]
+
     def news(self, link, ticket):
         word, since = self.queries.get(ticket, ("error", 0))
         kind, _, value = word.partition(":")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -181,3 +181,28 @@
             while running.poll() is None:
                 gevent.sleep(0.02)
         assert running.returncode == 0
+
+
+def test_a_reloaded_process_follows_the_directory_it_is_told_of_and_keeps_what_is_open(rig, tmp_path) -> None:
+    rig.engine("e", "runs:900")
+    rig.engine("f", "runs:900")
+    with process(rig, tmp_path) as running:
+        rig.call(1, "pay")
+        gevent.sleep(0.1)
+        rig.names.stop(0)
+        config, told = tmp_path / "config.json", rig.configuration("127.0.0.1:1")
+        for text in (b'{"names": "127.0', b"", b'{"names": "nowhere"}', b"[]"):
+            config.write_bytes(text)
+            running.send_signal(signal.SIGHUP)
+            gevent.sleep(0.1)
+        rig.change("e", "draining")
+        config.write_bytes(orjson.dumps(told))
+        running.send_signal(signal.SIGHUP)
+        gevent.sleep(0.25)
+        seen = len(rig.engines["e"].posts())
+        for number in range(2, 8):
+            rig.call(number, "look")
+        for number in range(1, 8):
+            rig.returned(number)
+        assert len(rig.engines["e"].posts()) == seen
+        assert running.poll() is None
