Spoilt answers are asked for again; clients are checked at the door and idle ones give way

Ruled out: the module's order of keys, memory of batches and pools (flat at 25 MB until the first huge answer). Now: an answer holds no more than the protocol's page and a head; rows are checked by form; what was lost, late or spoilt is asked for again on a new connection, with a pause, six times in a row at most; a connection that brought more than its answer is not used again. Accepting never stops: the longest idle connection without a batch gives way, silent, half and idle ones end. A reader rests after each faulty call, and lets others run after each piece.

--- a/pathturn/adapter/codec.py
+++ b/pathturn/adapter/codec.py
@@ -30,7 +30,8 @@
     def __init__(self, seed: int, config: dict[str, Any]) -> None:
         self.steps: list[list] = []
         self.events: list[tuple] = []
-        self.decider, self.group_index = build(seed, config)
+        self.decider, groups = build(seed, config)
+        self.group_index = {name: index for index, name in enumerate(groups)}
         self.tells_cost = bool(config.get("domain", {}).get("costInAnswers"))
         self.batch_of: dict[int, int] = {}
         self.rid: list[int] = []
--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -63,18 +63,19 @@
 
 class OpenBatches:
     def __init__(self) -> None:
-        self.numbers, self.by_index = count(), {}
+        self.numbers, self.by_index, self.tickets = count(), {}, set()
 
     def open(self, ticket: str, group: str, nonce: str | None, keyed: bool, statement: bytes,
              until_us: int) -> Batch:
         batch = Batch(next(self.numbers), ticket, group, nonce, keyed, statement, until_us)
         self.by_index[batch.index] = batch
+        self.tickets.add(ticket)
         return batch
 
     def settle(self, batch: Batch) -> None:
         """Forgets a batch that has its end and each of whose dispatches has its outcome."""
-        if batch.over and not batch.out:
-            self.by_index.pop(batch.index, None)
+        if batch.over and not batch.out and self.by_index.pop(batch.index, None) is not None:
+            self.tickets.discard(batch.ticket)
 
     def __len__(self) -> int:
         return len(self.by_index)
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -19,9 +19,10 @@
 
 
 class Facade:
-    def __init__(self, decider: names.Decider, group_index: dict[str, int], clock: Callable[[], int],
-                 tells_cost: bool, log: Callable[[str], None]) -> None:
-        self.decider, self.group_index, self.clock = decider, group_index, clock
+    def __init__(self, decider: names.Decider, groups: dict[str, names.ServiceGroup],
+                 clock: Callable[[], int], tells_cost: bool, log: Callable[[str], None]) -> None:
+        self.decider, self.groups, self.clock = decider, groups, clock
+        self.group_index = {name: index for index, name in enumerate(groups)}
         self.tells_cost, self.log_line = tells_cost, log
         self.batches, self.roster = OpenBatches(), Roster()
         self.events: list[tuple] = []
@@ -33,8 +34,11 @@
         self.came.set()
 
     # For the clients' side.
-    def knows(self, group: str) -> bool:
-        return group in self.group_index
+    def group(self, name: str) -> names.ServiceGroup | None:
+        return self.groups.get(name)
+
+    def is_open(self, ticket: str) -> bool:
+        return ticket in self.batches.tickets
 
     def take(self, ticket: str, group: str, left_us: int, nonce: str | None, key: str | None,
              customer: str | None, work_us: int, memory_mb: float, data_set: int, repeat: bool,
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -8,15 +8,16 @@
 import gevent
 from gevent import socket
 from gevent.event import Event
-from gevent.pool import Group, Pool
+from gevent.pool import Group
 from gevent.server import StreamServer
 
 from pathturn.core import interface as names
 from pathturn.memory.buffers import Buffers
 from pathturn.memory.facade import Facade
 from pathturn.memory.pools import Pools
+from pathturn.memory.sessions import Sessions
 from pathturn.process.clock import unix_clock
-from pathturn.process.limits import shares
+from pathturn.process.limits import longest_line, shares
 from pathturn.process.log import Log
 from pathturn.process.settings import build
 from pathturn.wire import directory
@@ -25,7 +26,7 @@
 from pathturn.wire.line import Line
 from pathturn.wire.lookup import Lookup
 
-PRUNE_S = 1.0
+PRUNE_S = 0.25
 # The protocol's figure: batches still come in for this long after SIGTERM.
 STILL_COMING_S = 0.7
 
@@ -34,12 +35,13 @@
     def __init__(self, told: dict[str, Any]) -> None:
         settings, self.clock, self.log = told["settings"], unix_clock(), Log(told["name"])
         limits = settings.get("limits") or {}
-        decider, group_index = build(int(told["seed"], 16), settings)
+        decider, groups = build(int(told["seed"], 16), settings)
         self.step_s = (settings.get("stepUs") or 1000) / 1e6
-        self.facade = Facade(decider, group_index, self.clock,
+        self.facade = Facade(decider, groups, self.clock,
                              bool((settings.get("domain") or {}).get("costInAnswers")), self.log)
         clients, engines = shares(told["limits"]["sockets"])
-        self.buffers = Buffers()
+        self.longest_line = longest_line(told["limits"]["memory_mb"], clients)
+        self.buffers, self.sessions = Buffers(), Sessions(clients, self.clock)
         self.pools = Pools(engines, limits.get("idleCloseUs") or 1_000_000,
                            limits.get("dialTimeoutUs") or 250_000, self.clock,
                            lambda place, dial_s: Line(place, dial_s, self.buffers, self.log), self.log)
@@ -52,8 +54,7 @@
         self.names = directory.address(told["names"])
         self.lookup = Lookup(self.facade, settings.get("discovery") == "ask", serial,
                              lambda: self.pools.keep_only(self.facade.roster.places))
-        self.server = StreamServer(directory.address(told["listen"]), self._client, backlog=1024,
-                                   spawn=Pool(clients))
+        self.server = StreamServer(directory.address(told["listen"]), self._client, backlog=1024)
 
     def run(self) -> None:
         """Serves, once its server has been started, until a stop is asked for and nothing taken is open."""
@@ -94,14 +95,18 @@
 
     def _client(self, link: socket.socket, peer: tuple[str, int]) -> None:
         session = Session(link, self.facade, self.engines.send, self.buffers,
-                          lambda: not self.asked_to_stop.is_set())
+                          lambda: not self.asked_to_stop.is_set(), self.longest_line)
+        if not self.sessions.enter(session):
+            session.end("no_room")
         code = session.serve()
+        self.sessions.leave(session)
         self.log(f"client {peer[0]}:{peer[1]} taken={session.taken} code={code}")
 
     def _prune(self) -> None:
         while True:
             gevent.sleep(PRUNE_S)
             self.pools.prune()
+            self.sessions.prune()
 
     def _finish(self) -> None:
         """Goes on serving until no batch is open: whatever was taken is owed an answer."""
--- a/pathturn/process/limits.py
+++ b/pathturn/process/limits.py
@@ -1,10 +1,18 @@
-"""How many connections each side may hold under the limit on descriptors."""
+"""What each side may hold under the limits on descriptors and memory."""
 
 # Standard streams, the event loop's own, the listener, the directory's socket, and some that are closing.
 OWN = 32
+# A line with a statement takes some hundred bytes; even where all clients stop short within one, their lines
+# take no more than this part of the memory together.
+LONGEST_LINE, SHORTEST_LINE, LINES_PART = 65_536, 8_192, 16
 
 
 def shares(sockets: int) -> tuple[int, int]:
-    """For clients and for engines: clients hold no more than a third by the protocol."""
-    clients = sockets // 3
+    """For clients and for engines. The usual clients hold no more than a third by the protocol; the others,
+    of whom hundreds may come at once, are seen off from what is beyond that."""
+    clients = sockets * 9 // 20
     return clients, max(1, sockets - clients - OWN)
+
+
+def longest_line(memory_mb: int, clients: int) -> int:
+    return max(SHORTEST_LINE, min(LONGEST_LINE, (memory_mb << 20) // LINES_PART // max(1, clients)))
--- a/pathturn/process/settings.py
+++ b/pathturn/process/settings.py
@@ -38,11 +38,12 @@
     )
 
 
-def build(seed: int, config: dict[str, Any]) -> tuple[Gateway, dict[str, int]]:
-    """A gateway's decisions, and the index of each service group's name."""
+def build(seed: int, config: dict[str, Any]) -> tuple[Gateway, dict[str, names.ServiceGroup]]:
+    """A gateway's decisions, and its service groups by their names, in the order of their indices."""
     domain, limits, rules = config.get("domain") or {}, config.get("limits") or {}, config.get("rules") or {}
     report = config.get("report") or {}
     entries, kinds = config.get("classes") or [], config.get("kinds") or []
+    groups = {entry["name"]: _group(entry, index, domain) for index, entry in enumerate(entries)}
     budget = None
     if rules.get("budgetSpanUs"):
         budget = (rules.get("freeResends") or 0, rules.get("extraPerRequest") or 0.0, rules["budgetSpanUs"])
@@ -50,7 +51,7 @@
         seed=seed,
         instance=config.get("ordinal", 0),
         gateways=config.get("siblings", 1),
-        groups=[_group(entry, index, domain) for index, entry in enumerate(entries)],
+        groups=list(groups.values()),
         cores=dict(zip(kinds, domain.get("coresByKind") or [])),
         grants=bool(domain.get("takesGrants")),
         pages=domain.get("onShortage") == "page",
@@ -68,4 +69,4 @@
         budget=budget,
         costs=bool(domain.get("costInAnswers")),
     )
-    return gateway, {entry["name"]: index for index, entry in enumerate(entries)}
+    return gateway, groups
--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import gevent
 from gevent import socket
 from gevent.lock import RLock
 from gevent.pool import Group
@@ -14,12 +15,21 @@
 from pathturn.wire import jsonrpc
 from pathturn.wire.statement import data_set
 
+# The protocol's figures: so many open batches on a connection, which clients close when idle for 4 s.
+MOST_OPEN, IDLE_S = 32, 5.0
+# A client that sends nothing whole, or reads nothing, is owed an end within 3 s of connecting.
+HALF_S, WRITE_S = 2.0, 2.0
+# What is turned away often comes back at once: after each such call the reader rests, other clients do not.
+REST_S, LONGEST_REST_S = 0.05, 0.5
+
 
 class Session:
     def __init__(self, link: socket.socket, facade: Facade, send: Callable[[Dispatch], None],
-                 buffers: Buffers, ready: Callable[[], bool]) -> None:
+                 buffers: Buffers, ready: Callable[[], bool], longest_line: int) -> None:
         self.link, self.facade, self.send, self.buffers, self.ready = link, facade, send, buffers, ready
         self.writing, self.open, self.answering, self.taken = RLock(), {}, Group(), 0
+        self.lines, self.code, self.last, self.faults = jsonrpc.Lines(longest_line), "", 0, 0
+        self.heard_us, self.half_us, self.proven = facade.clock(), 0, False
         link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def serve(self) -> str:
@@ -27,7 +37,7 @@
         try:
             return self._read()
         except OSError as fault:
-            return f"lost_{type(fault).__name__}"
+            return self.code or f"lost_{type(fault).__name__}"
         except jsonrpc.Unusable as fault:
             # Whatever was taken before is still owed its answer.
             self.fault(None, jsonrpc.MALFORMED)
@@ -38,46 +48,90 @@
                 self.facade.leave(batch)
             self.link.close()
 
+    def end(self, code: str) -> None:
+        """Ends the connection from outside; its reader wakes and logs why."""
+        self.code = self.code or code
+        self.link.close()
+
+    def at_rest(self) -> bool:
+        """Whether nothing is lost if it gives way: no batch open, and none on its way from a usual client."""
+        return not self.open and not (self.proven and self.lines.rest)
+
+    def overdue(self, now: int) -> str | None:
+        """The code with which it is to end, if it holds its place for nothing."""
+        if self.open:
+            return None
+        idle_s = (now - self.heard_us) / 1e6
+        if not self.proven and idle_s > HALF_S:
+            return "silent"
+        if self.lines.rest and (now - self.half_us) / 1e6 > HALF_S:
+            return "half_line"
+        return "idle" if not self.lines.rest and idle_s > IDLE_S else None
+
     def _read(self) -> str:
-        lines = jsonrpc.Lines()
         while True:
             with self.buffers.lent() as buffer:
                 size = self.link.recv_into(buffer)
                 if not size:
                     return "client_closed"
-                for line in lines.feed(buffer[:size]):
+                faults, halves = self.faults, bool(self.lines.rest)
+                for line in self.lines.feed(buffer[:size]):
+                    self.proven, halves, self.heard_us = True, False, self.facade.clock()
                     jsonrpc.read(line, self)
+                if self.lines.rest and not halves:
+                    self.half_us = self.facade.clock()
+            # Also where nothing was wrong: a socket that always has more never lets the others run.
+            gevent.sleep(min(LONGEST_REST_S, REST_S * (self.faults - faults)))
 
     def _write(self, line: bytes) -> None:
         with self.writing:
             try:
-                self.link.sendall(line)
-            except OSError:
-                # The reader sees the same end and logs it; it only has to be woken.
-                self.link.close()
+                with gevent.Timeout(WRITE_S, TimeoutError):
+                    self.link.sendall(line)
+            except OSError as fault:
+                # The reader is woken and logs it.
+                self.end("unread" if isinstance(fault, TimeoutError) else f"lost_{type(fault).__name__}")
 
     # What a line may ask for; the decoder calls these.
-    def knows(self, group: str) -> bool:
-        return self.facade.knows(group)
+    def group(self, method: str) -> names.ServiceGroup | None:
+        return self.facade.group(method)
+
+    def admits(self, number: int) -> bool:
+        """Numbers count from 1 and come once; some may be left out by a client that thought better of it. Of
+        two under one number neither may be taken for the other: both are answered by one error."""
+        if (clash := self.open.get(number)) is not None:
+            self.facade.leave(clash)
+            self.open.pop(number)
+            self.fault(number, jsonrpc.INVALID)
+            return False
+        if not self.last < number <= self.last + MOST_OPEN:
+            self.fault(number if number > self.last else None, jsonrpc.INVALID)
+            return False
+        self.last = number
+        return True
 
     def ping(self, number: Any) -> None:
         self._write(jsonrpc.healthy(number, self.ready()))
 
     def fault(self, number: Any, code: int) -> None:
+        self.faults += 1
         self._write(jsonrpc.errored(number, code))
 
-    def abort(self, ticket: str | None, number: Any) -> None:
-        for batch in list(self.open.values()):
-            if batch.ticket == ticket or (ticket is None and self.open.get(number) is batch):
-                self.facade.leave(batch)
+    def abort(self, number: Any) -> None:
+        if type(number) is int and (batch := self.open.get(number)) is not None:
+            self.facade.leave(batch)
 
-    def batch(self, number: Any, group: str, ticket: str, left_us: int, nonce: str | None, key: str | None,
+    def batch(self, number: int, group: str, ticket: str, left_us: int, nonce: str | None, key: str | None,
               customer: str | None, work_us: int, memory_mb: float, repeat: bool, statement: bytes) -> None:
-        if number in self.open:
-            # An answer under this number would be taken for the first one's.
-            raise jsonrpc.Unusable("id_used_twice")
+        if len(self.open) >= MOST_OPEN:
+            self.fault(number, jsonrpc.TOO_MANY)
+            return
+        if self.facade.is_open(ticket):
+            # Engines know a query by its ticket alone: the two would be answered with each other's rows.
+            self.fault(number, jsonrpc.INVALID)
+            return
         batch = self.facade.take(ticket, group, left_us, nonce, key, customer, work_us, memory_mb,
-                                 data_set(statement.decode("utf-8", "replace")), repeat, statement)
+                                 data_set(statement.decode()), repeat, statement)
         self.open[number] = batch
         self.taken += 1
         self.answering.spawn(self._see_through, number, batch)
@@ -85,7 +139,9 @@
     def _see_through(self, number: Any, batch: Batch) -> None:
         while isinstance(step := self.facade.pick(batch), Dispatch):
             self.send(step)
-        self.open.pop(number, None)
+        if self.open.get(number) is batch:
+            del self.open[number]
+        self.heard_us = self.facade.clock()
         self._answer(number, step)
 
     def _answer(self, number: Any, end: End) -> None:
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -1,6 +1,7 @@
 """Carries dispatches to engines: from the first byte to the outcome."""
 
 from collections.abc import Callable
+from functools import partial
 
 import gevent
 
@@ -9,8 +10,13 @@
 from pathturn.memory.facade import Facade
 from pathturn.memory.pools import Pools
 from pathturn.wire import warehouse
+from pathturn.wire.http import Unreadable
 from pathturn.wire.line import Line, Lost, Unreachable, Unsent
 
+Answer = tuple[int, dict[str, str], bytes]
+# A spoilt answer comes whole when asked for again; an engine that fails so often in a row has lost it.
+TRIES, PAUSE_S = 6, 0.01
+
 
 class CalledBack(gevent.GreenletExit):
     """The module wants the dispatch no more."""
@@ -78,16 +84,16 @@
             self._done(trip, names.UNSENT)
             return
         trip.begun = True
-        status, fields, body = trip.start(warehouse.start(
+        pages, (status, fields, body) = trip.start(warehouse.start(
             trip.line.host, batch.ticket, batch.group, dispatch.until_us - self.clock(), batch.nonce,
             batch.grant_mb, batch.priority, batch.statement))
         while status == 202:
             if (told := warehouse.note(fields)) is not None:
                 self.facade.note(dispatch, *told)
-            status, fields, body = trip.ask(0)
+            pages, (status, fields, body) = trip.news()
         ended, outcome, rows = self.clock(), warehouse.outcome(status, fields), None
         if outcome == names.RETURNED:
-            rows = self._rows(trip, int(warehouse.number(fields, "x-pages") or 1), body)
+            rows = self._rows(trip, pages, body)
             outcome = names.ERRORED if rows is None else outcome
         trip.end()
         self._done(trip, outcome, ended, fields, rows or b"")
@@ -96,11 +102,11 @@
         """The whole result, or None where the engine has lost a part of it."""
         rows = [first]
         for number in range(1, pages):
-            status, fields, body = trip.ask(number)
-            if status != 200 or fields.get("x-page") != str(number):
+            if (page := trip.page(number)) is None:
                 return None
-            rows.append(body)
-        return b"".join(rows)
+            rows.append(page)
+        whole = b"".join(rows)
+        return whole if len(whole) <= warehouse.LARGEST_RESULT else None
 
     def _done(self, trip: "Trip", outcome: str, ended: int = 0, fields: dict[str, str] | None = None,
               rows: bytes = b"") -> None:
@@ -123,7 +129,7 @@
         try:
             with gevent.Timeout(self.pools.dial_s, TimeUp):
                 trip.line = self.pools.borrow(dispatch.place)
-                trip.line.call(request(trip.line.host, dispatch.batch.ticket))
+                trip.line.call(request(trip.line.host, dispatch.batch.ticket), trip.patience_s)
             trip.end()
             return True
         except (Unreachable, Lost, TimeUp):
@@ -133,41 +139,64 @@
 
 
 class Trip:
-    """A dispatch and the connection that it uses at the moment."""
+    """A dispatch and the connection that it uses at the moment. A query is tied to no connection and keeps
+    its result: where an answer was lost, late or spoilt it is asked for again on a new one, not run again."""
 
     def __init__(self, dispatch: Dispatch, pools: Pools) -> None:
-        self.dispatch, self.pools, self.begun, self.lost = dispatch, pools, False, 0
+        self.dispatch, self.pools, self.begun = dispatch, pools, False
         self.line: Line | None = None
+        self.patience_s = pools.dial_s + warehouse.NEWS_US / 1e6
 
-    def start(self, request: bytes) -> tuple[int, dict[str, str], bytes]:
+    def start(self, request: bytes) -> tuple[int, Answer]:
         """An engine that knows nothing of a query whose start was lost has not proven that it never ran."""
-        answer = self._call(request, warehouse.page(self.line.host, self.dispatch.batch.ticket, 0))
-        if self.lost and answer[0] == 500:
-            raise Lost("start")
-        return answer
-
-    def ask(self, number: int) -> tuple[int, dict[str, str], bytes]:
-        request = warehouse.page(self.line.host, self.dispatch.batch.ticket, number)
-        return self._call(request, request)
-
-    def _call(self, request: bytes, again: bytes) -> tuple[int, dict[str, str], bytes]:
-        """A query is tied to no connection: where one was lost, the news is asked for once on a new one."""
         try:
-            return self.line.call(request)
+            return self._once(request, warehouse.news)
+        except Unsent:
+            raise  # it never went out whole: there is no news to ask for
         except Lost as fault:
-            if isinstance(fault, Unsent) and request is not again:
-                raise  # a start that never went out whole: there is no news to ask for
-            self.lost += 1
             self.drop(f"lost_{fault}")
+        pages, answer = self.news()
+        if answer[0] == 500:
+            raise Lost("start")
+        return pages, answer
+
+    def news(self) -> tuple[int, Answer]:
+        return self._ask(0, warehouse.news)
+
+    def page(self, number: int) -> bytes | None:
+        there, answer = self._ask(number, partial(warehouse.further, number))
+        return answer[2] if there else None
+
+    def _ask(self, number: int, check: Callable[..., int]) -> tuple[int, Answer]:
+        for tries in range(TRIES):
+            try:
+                if self.line is None:
+                    # Not all at once: an engine that has just been started anew resets many at a time.
+                    gevent.sleep(PAUSE_S * 2 ** tries)
+                    self.line = self.pools.borrow(self.dispatch.place, new=True)
+                return self._once(warehouse.page(self.line.host, self.dispatch.batch.ticket, number), check)
+            except Unreachable as fault:
+                raise Lost("engine_down") from fault
+            except Lost as fault:
+                self.drop(f"lost_{fault}")
+        raise Lost("tries")
+
+    def _once(self, request: bytes, check: Callable[..., int]) -> tuple[int, Answer]:
+        """One call, and its answer with what the check found in it. A connection that brought more than the
+        answer is not used again."""
+        answer = self.line.call(request, self.patience_s)
         try:
-            self.line = self.pools.borrow(self.dispatch.place, new=True)
-            return self.line.call(again)
-        except (Unreachable, Unsent) as fault:
-            raise Lost("engine_down") from fault
+            found = check(*answer)
+        except Unreadable as fault:
+            raise Lost(f"spoilt_{fault}") from fault
+        if not self.line.answers.keeps:
+            self.drop("engine_closes")
+        return found, answer
 
     def end(self) -> None:
-        line, self.line = self.line, None
-        self.pools.give_back(line)
+        if self.line is not None:
+            self.pools.give_back(self.line)
+            self.line = None
 
     def drop(self, code: str) -> None:
         if self.line is not None:
--- a/pathturn/wire/http.py
+++ b/pathturn/wire/http.py
@@ -4,36 +4,72 @@
 
 import httptools
 
+# The protocol's figure for a page. A head takes a few hundred bytes; whatever passes this is not one of ours.
+LARGEST_BODY, LARGEST_HEAD = 6000, 8192
+
+
+class Unreadable(Exception):
+    """What came is no answer, or not the one that is due; its text is the reason's code."""
+
 
 class Answers:
-    """Reads one answer after another from a connection's bytes."""
+    """Reads one answer after another from a connection's bytes. Holds no more than one answer can have: one
+    said to be larger is refused before its bytes, one without an end as soon as it is too long."""
 
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
+        self.keeps = True
+        self._begin()
+
+    def _begin(self) -> None:
         self.fields: dict[str, str] = {}
         self.pieces: list[bytes] = []
-        self.whole, self.keeps = False, True
+        self.whole, self.size = False, 0
 
     def feed(self, piece: memoryview) -> bool:
         """Whether the answer is whole now."""
-        self.parser.feed_data(piece)
+        self.size += len(piece)
+        try:
+            self.parser.feed_data(piece)
+        except (httptools.HttpParserError, httptools.HttpParserCallbackError) as fault:
+            if not self.whole:
+                raise Unreadable("unreadable") from fault
+            self.keeps = False  # noise behind an answer is not its fault, but nothing after it can be trusted
+        if not self.whole and self.size > LARGEST_HEAD + LARGEST_BODY:
+            raise Unreadable("overlong")
         return self.whole
 
     def take(self) -> tuple[int, dict[str, str], bytes]:
-        answer = self.parser.get_status_code(), self.fields, b"".join(self.pieces)
-        self.fields, self.pieces, self.whole = {}, [], False
+        answer = self.status, self.fields, b"".join(self.pieces)
+        self._begin()
         return answer
 
     # httptools calls these.
+    def on_message_begin(self) -> None:
+        if self.whole:
+            self.keeps = False  # a second copy: the next call would be answered with it
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.fields[name.decode("latin-1").lower()] = value.decode("latin-1")
+        if self.whole:
+            return
+        key = name.decode("latin-1").lower()
+        self.fields[key] = value.decode("latin-1")
+        if key == "content-length" and int(value) > LARGEST_BODY:
+            raise Unreadable("overlong")
 
     def on_body(self, body: bytes) -> None:
-        self.pieces.append(body)
+        if not self.whole:
+            self.pieces.append(body)
 
     def on_message_complete(self) -> None:
+        if self.whole:
+            return
+        self.status = self.parser.get_status_code()
+        if self.status < 200:
+            self.fields = {}  # one in front of the answer proper
+            return
         # Asked here: once the parser stands before the next answer it always says no.
-        self.whole, self.keeps = True, self.parser.should_keep_alive()
+        self.whole, self.keeps = True, self.keeps and self.parser.should_keep_alive()
 
 
 def call(verb: str, path: str, host: str, fields: Iterable[tuple[str, object]] = (),
--- a/pathturn/wire/jsonrpc.py
+++ b/pathturn/wire/jsonrpc.py
@@ -1,14 +1,19 @@
 """JSON-RPC 2.0 lines from clients: bytes to calls, answers to bytes. No sockets here."""
 
+import re
 from base64 import b64decode, b64encode
 from collections.abc import Iterator
 from typing import Any
 
 import orjson
 
-PUSHED_BACK = -32066  # the protocol's own; those below are JSON-RPC's, and one of the range left to servers
-ERRORED, MALFORMED, UNKNOWN, UNUSABLE = -32050, -32700, -32601, -32602
-LONGEST_LINE = 1 << 20  # a client that never ends its line must not fill the memory
+from pathturn.core import interface as names
+
+PUSHED_BACK = -32066  # the protocol's own; those below are JSON-RPC's, and two of the range left to servers
+ERRORED, TOO_MANY = -32050, -32051
+MALFORMED, INVALID, UNKNOWN, UNUSABLE = -32700, -32600, -32601, -32602
+TICKET, TOKEN = re.compile(r"[0-9a-f]{16}"), re.compile(r"[\w.:-]{1,64}", re.ASCII)
+LARGEST_FIGURE = 1e7  # three hours of work, ten terabytes: an estimate beyond that is none
 
 
 class Unusable(Exception):
@@ -16,55 +21,84 @@
 
 
 class Lines:
-    """Cuts a stream into lines, whatever pieces it comes in."""
+    """Cuts a stream into lines, whatever pieces it comes in. A line that never ends must not fill the memory,
+    nor have what there is of it searched again with each piece."""
 
-    def __init__(self) -> None:
-        self.rest = bytearray()
+    def __init__(self, longest: int) -> None:
+        self.longest, self.rest = longest, bytearray()
 
     def feed(self, piece: memoryview) -> Iterator[bytes]:
-        self.rest += piece
-        if len(self.rest) > LONGEST_LINE and b"\n" not in piece.tobytes():
-            raise Unusable("overlong_line")
-        while (end := self.rest.find(b"\n")) >= 0:
-            line = bytes(self.rest[:end])
-            del self.rest[:end + 1]
+        parts = bytes(piece).split(b"\n")
+        for part in parts[:-1]:
+            line = bytes(self.rest) + part if self.rest else part
+            self.rest.clear()
             if line.strip():
                 yield line
+        self.rest += parts[-1]
+        if len(self.rest) > self.longest:
+            raise Unusable("overlong_line")
 
 
 def read(line: bytes, session: Any) -> None:
-    """Turns a line into one call of the session; what cannot be read is answered where its id is known."""
+    """Turns a line into one call of the session; what cannot be read is answered where its id is known. The
+    cheap checks come first: whoever is turned away often returns at once."""
     try:
         message = orjson.loads(line)
-        number = message.get("id")
-    except (orjson.JSONDecodeError, AttributeError) as fault:
+    except orjson.JSONDecodeError as fault:
         raise Unusable("malformed_line") from fault
-    try:
-        method, params = message["method"], message.get("params") or {}
-        if method == "ping":
-            session.ping(number)
-        elif method == "abort":
-            session.abort(params.get("trace"), params.get("id", number))
-        elif not session.knows(method):
-            session.fault(number, UNKNOWN)
+    if type(message) is not dict:
+        raise Unusable("malformed_line")
+    number, method, params = message.get("id"), message.get("method"), message.get("params")
+    if method == "abort":
+        session.abort(params.get("id") if type(params) is dict else None)
+        return
+    if type(number) is not int:
+        raise Unusable("no_id")
+    if not session.admits(number):
+        return
+    if message.get("jsonrpc") != "2.0" or type(method) is not str:
+        session.fault(number, INVALID)
+    elif method == "ping":
+        session.ping(number)
+    elif (group := session.group(method)) is None:
+        session.fault(number, UNKNOWN)
+    else:
+        try:
+            fields = _fields(params, group)
+        except (KeyError, TypeError, ValueError, AttributeError):
+            session.fault(number, UNUSABLE)
         else:
-            session.batch(number, method, _word(params["trace"]), _whole(params["patience"], 1000),
-                          _word(params.get("nonce")), _word(params.get("entity")),
-                          _word(params.get("customer")), _whole(params.get("weight"), 1000),
-                          _whole(params.get("est_mb"), 1), bool(params.get("redo")),
-                          b64decode(params.get("data", ""), validate=True))
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
-        session.fault(number, UNUSABLE)
-
-
-def _whole(value: float | None, unit: int) -> int:
-    return int(max(0, value or 0) * unit)
+            session.batch(number, method, *fields)
+
+
+def _fields(params: dict[str, Any], group: names.ServiceGroup) -> tuple:
+    """All of them or none: whatever goes on to an engine must be as the client wrote it."""
+    left_us = int(_figure(params["patience"]) * 1000)
+    if not 0 < left_us <= group.limit_us:
+        raise ValueError("patience")
+    if not TICKET.fullmatch(params["trace"]):
+        raise ValueError("trace")
+    work_us, memory_mb = int(_figure(params.get("weight", 0)) * 1000), int(_figure(params.get("est_mb", 0)))
+    nonce = _token(params, "nonce", group.kind == names.REFERENCED)
+    key, customer = _token(params, "entity", group.in_order), _token(params, "customer", False)
+    statement = b64decode(params["data"], validate=True)
+    if not statement.decode().strip():
+        raise ValueError("data")
+    return (params["trace"], left_us, nonce, key, customer, work_us, memory_mb, params.get("redo") is True,
+            statement)
+
+
+def _figure(value: float) -> float:
+    if type(value) not in (int, float) or not 0 <= value <= LARGEST_FIGURE:
+        raise ValueError("figure")
+    return value
 
 
-def _word(value: str | None) -> str | None:
+def _token(params: dict[str, Any], name: str, needed: bool) -> str | None:
     """These become header fields: one with a line's end in it would write further ones."""
-    if value is not None and not value.isprintable():
-        raise ValueError("unprintable")
+    value = params.get(name)
+    if (value is None and needed) or (value is not None and not TOKEN.fullmatch(value)):
+        raise ValueError(name)
     return value
 
 
--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Callable
 
-import httptools
 from gevent import socket
 
 from pathturn.memory.buffers import Buffers
 from pathturn.memory.roster import Place
-from pathturn.wire.http import Answers
+from pathturn.wire.http import Answers, Unreadable
 
 
 class Unreachable(Exception):
@@ -36,30 +35,39 @@
         except OSError as fault:
             self.socket.close()
             raise Unreachable(type(fault).__name__) from fault
-        self.socket.settimeout(None)
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    def call(self, request: bytes) -> tuple[int, dict[str, str], bytes]:
+    def call(self, request: bytes, patience_s: float) -> tuple[int, dict[str, str], bytes]:
         self.calls += 1
+        self.socket.settimeout(patience_s)
         try:
             self.socket.sendall(request)
         except OSError as fault:
             raise Unsent(type(fault).__name__) from fault
         try:
             with self.buffers.lent() as buffer:
-                while True:
-                    size = self.socket.recv_into(buffer)
-                    if not size:
-                        raise Lost("closed")
-                    if self.answers.feed(buffer[:size]):
-                        return self.answers.take()
+                while not self.answers.feed(self._receive(buffer)):
+                    pass
+            return self.answers.take()
         except OSError as fault:
             raise Lost(type(fault).__name__) from fault
-        except (httptools.HttpParserError, httptools.HttpParserCallbackError) as fault:
-            raise Lost("unreadable") from fault
+        except Unreadable as fault:
+            raise Lost(str(fault)) from fault
+
+    def _receive(self, buffer: memoryview) -> memoryview:
+        try:
+            size = self.socket.recv_into(buffer)
+        except TimeoutError:
+            # After a standstill of this gateway the timer comes before what has lain in the socket all along.
+            if self.fresh():
+                raise
+            size = self.socket.recv_into(buffer)
+        if not size:
+            raise Lost("closed")
+        return buffer[:size]
 
     def fresh(self) -> bool:
-        """Whether an idle connection is still usable: the engine may have closed it, or spoken unasked."""
+        """Whether nothing lies in the socket, neither bytes nor an end: idle, it is still usable."""
         self.socket.settimeout(0)
         try:
             self.socket.recv(1, socket.MSG_PEEK)
@@ -67,8 +75,6 @@
             return True
         except OSError:
             return False
-        finally:
-            self.socket.settimeout(None)
         return False
 
     def close(self, code: str) -> None:
--- a/pathturn/wire/warehouse.py
+++ b/pathturn/wire/warehouse.py
@@ -1,15 +1,24 @@
 """The engines' calls and what their answers mean. No sockets here."""
 
+import re
+from math import isfinite
 from urllib.parse import quote
 
 from pathturn.core import interface as names
-from pathturn.wire.http import call
+from pathturn.wire.http import LARGEST_BODY, Unreadable, call
 
 NOTES = {"done": names.PROGRESS, "spills": names.SPILLS, "waits": names.WAITS}
 # What a meter may call a load value that the settings name otherwise.
 METERS = {"concurrent": "inflight", "depth": "queue", "load_share": "util", "mean_ms": "latency_ms",
           "tps": "qps", "err_ps": "eps"}
-FORGOTTEN_US = 2_000_000  # the protocol's figure: a query not asked for that long has ended
+# The protocol's figures: a query not asked for that long has ended; its news comes within the other.
+FORGOTTEN_US, NEWS_US = 2_000_000, 250_000
+LARGEST_RESULT = 48_000  # the protocol's figure
+# Pages hold whole rows: two that follow each other are more than one, else they would be one.
+MOST_PAGES = 2 * LARGEST_RESULT // LARGEST_BODY
+ROWS = re.compile(rb"(?:[^\x00-\x1f]*\t[^\x00-\x1f]*\t[^\x00-\x1f]*\n)*")
+LARGEST_NUMBER = 1e9  # a cost of some days, a need of a petabyte: beyond that it tells nothing
+STATUSES = frozenset({200, 202, 500, 503, 504})
 
 
 def start(host: str, ticket: str, group: str, wait_us: int, nonce: str | None, grant_mb: float,
@@ -49,19 +58,54 @@
     return None if sort is None else (sort, number(fields, "x-value"))
 
 
+def news(status: int, fields: dict[str, str], body: bytes) -> int:
+    """The number of pages where the answer is a good end. Raises where it cannot be what the engine said."""
+    if status not in STATUSES:
+        raise Unreadable("status")
+    if status != 200:
+        return 0
+    pages = fields.get("x-pages", "")
+    if not pages.isdecimal() or not 1 <= int(pages) <= MOST_PAGES or (int(pages) > 1 and not body):
+        raise Unreadable("pages")
+    check_rows(body)
+    return int(pages)
+
+
+def further(number: int, status: int, fields: dict[str, str], body: bytes) -> bool:
+    """Whether this is that page; False where the engine has lost it."""
+    if status == 500:
+        return False
+    if status != 200 or fields.get("x-page") != str(number) or not body:
+        raise Unreadable("page")
+    check_rows(body)
+    return True
+
+
+def check_rows(body: bytes) -> None:
+    """Rows that no engine made must not reach a client: a cut or spoilt page is told by its form."""
+    try:
+        whole = ROWS.fullmatch(body) is not None and body.decode() is not None
+    except UnicodeDecodeError:
+        whole = False
+    if not whole:
+        raise Unreadable("rows")
+
+
 def number(fields: dict[str, str], name: str) -> float:
+    """0 where it is none, or none that the module's averages could stand."""
+    return _sound(fields.get(name, "0")) or 0.0
+
+
+def _sound(text: str) -> float | None:
     try:
-        return float(fields.get(name, 0))
+        value = float(text)
     except ValueError:
-        return 0.0
+        return None
+    return value if isfinite(value) and 0 <= value <= LARGEST_NUMBER else None
 
 
 def meter(fields: dict[str, str], wanted: list[str]) -> list[float] | None:
     """The load values in the order in which the settings name them; one missing voids the report."""
     told = dict(part.split(":", 1) for part in fields.get("x-meter", "").split(";") if ":" in part)
-    if not told:
-        return None
-    try:
-        return [float(told[name] if name in told else told[METERS[name]]) for name in wanted]
-    except (KeyError, ValueError):
-        return None
+    values = [_sound(told.get(name, told.get(METERS.get(name, ""), ""))) for name in wanted]
+    return None if not told or None in values else values
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 `.wire` against a gateway on sockets between stand-ins.
 """
 
+import contextlib
 import struct
 from base64 import b64decode, b64encode
 from pathlib import Path
@@ -159,6 +160,30 @@
         assert called == list(batches), f"cancelled {called}"
 
 
+GOOD = (b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\nX-Cost-Ms: 5\r\nX-Needed-Mb: 1\r\nContent-Length: 6\r\n\r\n"
+        b"a\tb\t0\n")
+# What a peer may send in place of a good answer; with a None behind it the connection stays open.
+SPOILT = {
+    "noise": (bytes(range(128, 180)) + b"\r\n\r\n",), "cut": (GOOD[:-3],), "closed": (b"",), "mute": (None,),
+    "short": (GOOD.replace(b"th: 6", b"th: 60"), None), "long": (GOOD.replace(b"th: 6", b"th: 5"), None),
+    "minus": (GOOD.replace(b"th: 6", b"th: -1"), None), "page": (GOOD.replace(b"X-Pages", b"X-Page"), None),
+    "huge": (GOOD.replace(b"th: 6", b"th: 3000000000"), *[bytes(60_000)] * 20, None),
+    "endless": (b"HTTP/1.1 200 OK\r\nX-Pages: ", *[b"1" * 60_000] * 20, None),
+    "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n", None),
+    "unbounded": (b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\n\r\na\tb\t", *[b"c" * 60_000] * 20, None),
+    "colon": (GOOD.replace(b"X-Cost-Ms:", b"no colon"), None),
+    "pages": (GOOD.replace(b"ges: 1", b"ges: nan"),),
+    "columns": (GOOD.replace(b"\tb\t", b"\tb "), None), "text": (GOOD.replace(b"\tb\t", b"\t\xff\t"), None),
+}
+# What a good answer may bring beside itself.
+MORE = {
+    "early": (b"HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Wait\r\n\r\n" + GOOD, None),
+    "twice": (GOOD + GOOD, None), "behind": (GOOD + b"\x00\xa7 noise", None),
+    "figures": (GOOD.replace(b"Ms: 5", b"Ms: 1e999").replace(b"Mb: 1", b"Mb: nan\r\nX-Meter: depth:inf;"
+                                                             b"concurrent:-1e300"), None),
+}
+
+
 class StandInEngine:
     """Speaks the engines' protocol as scripted: a word for each query, the last one for all others."""
 
@@ -168,7 +193,7 @@
         self.server.start()
 
     def serve(self, link, peer):
-        while True:
+        while not link.closed:
             verb, path, fields, body = read_request(link)
             if not verb:
                 return
@@ -194,6 +219,9 @@
     def news(self, link, ticket):
         word, since = self.queries.get(ticket, ("error", 0))
         kind, _, value = word.partition(":")
+        if kind == "sends":
+            self.queries[ticket] = ("rows:1", since)
+            return self.send(link, {**SPOILT, **MORE}[value])
         if kind in ("hang", "mute"):
             gevent.sleep(30)
         elif kind in ("runs", "notes"):
@@ -206,7 +234,7 @@
             kind, value = "rows", "1"
         if kind == "odd":
             return self.answer(link, 200, [("X-Pages", "nan")])
-        if kind in ("rows", "lost"):
+        if kind in ("rows", "lost", "torn"):
             told = [("X-Pages", value or 2), ("X-Cost-Ms", 5), ("X-Needed-Mb", 1),
                     ("X-Meter", "depth:0;concurrent:2")]
             return self.answer(link, 200, told, b"a\tb\t0\n")
@@ -216,10 +244,24 @@
     def page(self, link, ticket, number):
         if number == "0":
             return self.news(link, ticket)
-        if self.queries[ticket][0] == "lost":
+        word = self.queries[ticket][0]
+        if word == "lost":
             return self.answer(link, 500)
+        if word.startswith("torn:"):
+            self.queries[ticket] = (f"rows:{word[5:]}", 0)
+            return self.send(link, SPOILT["short"])
         return self.answer(link, 200, [("X-Page", number)], f"a\tb\t{number}\n".encode())
 
+    def send(self, link, pieces):
+        try:
+            for piece in pieces:
+                if piece is None:
+                    return
+                link.sendall(piece)
+        except OSError:
+            self.refused = True
+        link.close()
+
     def answer(self, link, status, fields=(), body=b""):
         head = [f"HTTP/1.1 {status} said", *(f"{name}: {value}" for name, value in fields),
                 f"Content-Length: {len(body)}", "", ""]
@@ -229,7 +271,11 @@
 def read_request(link):
     data = b""
     while b"\r\n\r\n" not in data:
-        if not (piece := link.recv(4096)):
+        try:
+            piece = link.recv(4096)
+        except OSError:
+            piece = b""
+        if not piece:
             return None, None, None, None
         data += piece
     head, _, body = data.partition(b"\r\n\r\n")
@@ -249,10 +295,11 @@
     """A gateway in this process between stand-in engines, a stand-in directory and a client."""
 
     GROUPS = {"look": ("retryable", 1500, {}), "pay": ("fragile", 1500, {}),
-              "load": ("dedup", 3000, {"group": "all", "memorySpanUs": 10 * SECOND, "inTurn": True})}
+              "load": ("dedup", 5000, {"group": "all", "memorySpanUs": 10 * SECOND, "inTurn": True})}
 
     def __init__(self):
         self.engines, self.states, self.answers, self.serial = {}, {}, {}, 1
+        self.strangers = []
         self.gateway, self.greenlets, self.limit, self.silent, self.ended = None, [], 200, False, False
         self.settings = {
             "classes": [{"name": name, "promiseUs": 400_000, "deadlineUs": limit * 1000, "effect": effect,
@@ -338,35 +385,56 @@
     def close(self):
         for each in [*(engine.server for engine in self.engines.values()), self.names]:
             each.stop(0)
+        for each in self.strangers:
+            each.close()
         if self.gateway is not None:
             self.gateway.server.stop(0)
             self.gateway.parts.kill()
+            self.gateway.lookup.following.kill()
         gevent.killall(self.greenlets)
 
     def raw(self, *words):
         self.client.sendall(" ".join(words).encode() + b"\n")
 
     def say(self, **message):
-        self.raw(orjson.dumps(message).decode())
+        self.raw(orjson.dumps({"jsonrpc": "2.0", **message}).decode())
 
     def call(self, number, group, patience="1000", key=None, nonce=None):
         params = {"trace": f"{int(number):016x}", "patience": int(patience), "weight": 100, "est_mb": 1,
                   "data": b64encode(b"SELECT 1 FROM sales_3.orders").decode()}
-        params |= {name: value for name, value in (("entity", key), ("nonce", nonce)) if value}
+        if group == "load":
+            params |= {"entity": key or f"k{number}", "nonce": nonce or f"n{number}"}
         self.say(id=int(number), method=group, params=params)
 
+    def calls(self, first, last, group):
+        for number in range(int(first), int(last) + 1):
+            self.call(number, group)
+
     def malformed(self, number, field, value):
-        params = {"trace": "a", "patience": 500, "weight": 1, "est_mb": 1, "data": ""}
+        params = {"trace": f"{int(number):016x}", "patience": 500, "weight": 1, "est_mb": 1, "data": "U0VM"}
         params[field] = orjson.loads(value)
         self.say(id=int(number), method="look", params=params)
 
     def abort(self, number):
-        self.say(method="abort", params={"trace": f"{int(number):016x}"})
+        self.say(method="abort", params={"id": int(number)})
 
     def closed(self):
         gevent.sleep(0.1)
         assert self.ended, "the connection is still open"
 
+    def stranger(self, *pieces):
+        """Another connection that sends these pieces; whoever reads it gets what came back, then an end."""
+        link = socket.create_connection(self.listen)
+        self.strangers.append(link)
+
+        def send():
+            with contextlib.suppress(OSError):
+                for piece in pieces:
+                    link.sendall(piece)
+
+        self.greenlets.append(gevent.spawn(send))
+        return link
+
     def hang_up(self):
         self.client.shutdown(socket.SHUT_RDWR)
 
@@ -381,10 +449,11 @@
 
     def answered(self, number, within="3000"):
         end = monotonic() + int(within) / 1000
-        while int(number) not in self.answers and monotonic() < end:
+        number = None if number == "null" else int(number)
+        while number not in self.answers and monotonic() < end:
             gevent.sleep(0.005)
         gevent.sleep(0.02)  # a second answer would be one too many
-        found = self.answers.get(int(number), [])
+        found = self.answers.get(number, [])
         assert len(found) == 1, f"{len(found)} answers to {number}"
         return found[0][1]
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,14 +9,16 @@
 import gevent
 import orjson
 import pytest
-from conftest import at
+from conftest import MORE, SPOILT, at
 from typer.testing import CliRunner
 
 from pathturn.cli import app
 from pathturn.core import interface as names
+from pathturn.process.limits import shares
 from pathturn.process.log import LINES_A_SECOND, Log
 from pathturn.wire import directory, jsonrpc, warehouse
-from pathturn.wire.http import Answers
+from pathturn.wire.clients import Session
+from pathturn.wire.http import Answers, Unreadable
 from pathturn.wire.statement import data_set
 
 
@@ -37,11 +39,12 @@
 
 
 def test_lines_are_cut_wherever_the_pieces_end() -> None:
-    lines, text = jsonrpc.Lines(), b'{"id":1}\n\n{"id":2}\n{"id":3}\n'
+    lines, text = jsonrpc.Lines(100), b'{"id":1}\n\n{"id":2}\n{"id":3}\n'
     found = [line for at in range(0, len(text), 5) for line in lines.feed(memoryview(text[at:at + 5]))]
     assert found == [b'{"id":1}', b'{"id":2}', b'{"id":3}']
     with pytest.raises(jsonrpc.Unusable):
-        list(lines.feed(memoryview(bytes(jsonrpc.LONGEST_LINE + 1))))
+        for _ in range(12):
+            list(lines.feed(memoryview(bytes(9))))
 
 
 def test_answers_are_read_one_after_another_and_tell_whether_the_connection_stays() -> None:
@@ -62,6 +65,38 @@
     assert warehouse.meter({"x-meter": "depth:0;concurrent:4.015"}, ["depth", "concurrent"]) == [0, 4.015]
 
 
+@pytest.mark.parametrize("kind", SPOILT)
+def test_what_a_peer_spoils_is_asked_for_again_and_never_passed_on(rig, kind) -> None:
+    rig.engine("e", f"sends:{kind}")
+    rig.start()
+    rig.call(1, "pay", patience=1500)
+    rig.returned(1)
+    rig.asked("e", "POST", 1)
+    rig.idle()
+
+
+@pytest.mark.parametrize("kind", MORE)
+def test_more_than_a_good_answer_does_not_spoil_it_nor_the_next(rig, kind) -> None:
+    rig.engine("e", f"sends:{kind}", "rows:2")
+    rig.start()
+    rig.call(1, "pay")
+    rig.returned(1)
+    rig.call(2, "pay")
+    rig.returned(2, 2)
+    rig.asked("e", "GET", 1)
+    rig.idle()
+
+
+def test_an_answer_said_to_be_huge_takes_no_memory() -> None:
+    answers = Answers()
+    with pytest.raises(Unreadable):
+        answers.feed(memoryview(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"))
+    endless = Answers()
+    with pytest.raises(Unreadable):
+        for _ in range(10):
+            assert not endless.feed(memoryview(b"HTTP/1.1 200 OK\r\nX-Pages: " + b"1" * 4000))
+
+
 def test_outcomes_tell_what_is_proven() -> None:
     shed = {"x-shed": "1"}
     told = [warehouse.outcome(*each) for each in ((503, shed), (504, shed), (503, {}), (500, {}), (200, {}))]
@@ -107,11 +142,68 @@
     config.write_bytes(orjson.dumps(rig.configuration("127.0.0.1:8443")))
     statement.write_text("SELECT n FROM sales_17.orders")
     told = CliRunner().invoke(app, ["check", str(config)])
-    assert told.exit_code == 0 and "connections: 66 from clients, 102 to engines" in told.output
+    assert told.exit_code == 0 and "connections: 90 from clients, 78 to engines" in told.output
     assert f"engine e at {at(rig.engines['e'].server)}, z, m" in told.output
     assert CliRunner().invoke(app, ["data-set", str(statement)]).output == "17\n"
 
 
+@pytest.mark.parametrize("pieces", [
+    (b"\x00\xff\r\n\r\n",), (b"[" * 30_000 + b"\n",), (b"5\n",), (b'{"method":"look"}\n',),
+    (b'{"jsonrpc":"2.0","id":-1,"method":"look"}\n',), (b'{"jsonrpc":"2.0","id":"7","method":"look"}\n',),
+    (b'{"jsonrpc":"2.0","id":1e400,"method":"look"}\n',), (b'{"id":1,"method":"look","params":{}}\n',),
+    (b'[{"jsonrpc":"2.0","id":1,"method":"ping"}]\n',), (b'{"jsonrpc":"2.0","id":1,"method":"x"}\n' * 300,),
+    (b"a" * 60_000,) * 50, (b'{"jsonrpc":"2.0"',), (),
+])
+def test_a_bad_client_gets_an_error_or_an_end_in_time_and_the_usual_one_its_rows(rig, pieces) -> None:
+    rig.engine("e", "runs:200")
+    rig.start()
+    rig.call(1, "look")
+    strangers = [rig.stranger(*pieces) for _ in range(3)]
+    rig.returned(1)
+    for link in strangers:
+        with gevent.Timeout(3):
+            try:
+                told = link.recv(65_536)
+            except ConnectionResetError:
+                told = b""
+        assert b"result" not in told and (not told or b'"error"' in told)
+    rig.asked("e", "POST", 1)
+
+
+def test_hundreds_that_hold_on_to_their_connection_do_not_shut_out_the_next(rig) -> None:
+    rig.engine("e", "runs:600")
+    rig.start()
+    rig.call(1, "look")
+    kept = [rig.stranger(b'{"jsonrpc":"2.0","id":1,"method":"ping"}\n') for _ in range(200)]
+    assert all(b"healthy" in link.recv(200) for link in kept)
+    assert len(rig.gateway.sessions.held) <= shares(rig.limit)[0]
+    rig.returned(1)
+
+
+def test_connections_without_use_end_and_those_with_work_or_half_a_line_stay() -> None:
+    session = Session.__new__(Session)
+    session.open, session.lines, session.proven = {}, jsonrpc.Lines(100), True
+    session.heard_us = session.half_us = 0
+    assert session.overdue(4_500_000) is None and session.overdue(5_500_000) == "idle" and session.at_rest()
+    list(session.lines.feed(memoryview(b"half")))
+    assert session.overdue(2_500_000) == "half_line" and not session.at_rest()
+    session.open[1] = None
+    assert session.overdue(9_000_000) is None and not session.at_rest()
+
+
+def test_a_client_that_asks_and_never_reads_does_not_hold_its_writers(rig, monkeypatch) -> None:
+    monkeypatch.setattr("pathturn.wire.clients.WRITE_S", 0.2)
+    rig.engine("e")
+    rig.start()
+    line = b'{"jsonrpc":"2.0","id":%d,"method":"ping"}\n'
+    rig.stranger(*(line % number for number in range(1, 200_000)))
+    with gevent.Timeout(20):
+        while not rig.gateway.sessions.held or len(rig.gateway.sessions.held) > 1:
+            gevent.sleep(0.1)
+    rig.call(1, "look")
+    rig.returned(1)
+
+
 def test_a_round_that_fails_loses_no_answer(rig, monkeypatch) -> None:
     rig.engine("e", "runs:200")
     rig.start()
