A dial that is reset is no longer taken for an engine that is down and comes back cold

Checked: 106 dials ended with a reset, 122 were refused; both told the module 'unreachable' (wire/line.py, Line), which takes the engine for one that was started anew, for 14 s, each time again (core/choice.py, _blame). The cold guard then let through a sixth of what the engines can do. Ruled out: windows (open enough), shut engines (two at most), keys, the CPU (0.3 cores). A reset shows that somebody is there: such a start was never sent, and goes on elsewhere. Refused and unanswered dials stay as they were.

--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -33,8 +33,10 @@
             self.socket.settimeout(dial_s)
             self.socket.connect(address)
         except OSError as fault:
-            self.socket.close()
-            raise Unreachable(type(fault).__name__) from fault
+            self.close(f"undialled_{type(fault).__name__}")
+            # Whoever resets a dial is there: taken for one that is down, it would count as started anew.
+            kind = Unsent if isinstance(fault, ConnectionResetError) else Unreachable
+            raise kind(type(fault).__name__) from fault
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def call(self, request: bytes, patience_s: float) -> tuple[int, dict[str, str], bytes]:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,6 +10,7 @@
 import orjson
 import pytest
 from conftest import MORE, SPOILT, at
+from gevent import socket
 from typer.testing import CliRunner
 
 from pathturn.cli import app
@@ -87,6 +88,28 @@
     rig.idle()
 
 
+@pytest.mark.parametrize(("fault", "cold"), [(ConnectionResetError, False), (ConnectionRefusedError, True)])
+def test_only_an_engine_that_is_down_is_taken_for_one_started_anew(rig, monkeypatch, fault, cold) -> None:
+    """A dial that was reset was answered: taken for a restart, it left idle engines a sixth of their work."""
+    rig.set("rules.coldUs", "14000000")
+    rig.engine("e")
+    rig.start()
+    place, left = rig.engines["e"].server.address, [2]
+
+    class Flaky(socket.socket):
+        def connect(self, address):
+            if address == place and left[0]:
+                left[0] -= 1
+                raise fault
+            super().connect(address)
+
+    monkeypatch.setattr("pathturn.wire.line.socket.socket", Flaky)
+    rig.call(1, "pay")
+    rig.returned(1)
+    rig.idle()
+    assert bool(rig.gateway.facade.decider.engines[0].cold_until) is cold
+
+
 def test_an_answer_said_to_be_huge_takes_no_memory() -> None:
     answers = Answers()
     with pytest.raises(Unreadable):
