Order of a key holds over standstills and torn give-ups; what has gone leaves nothing behind

Checked with traces of all keyed batches, a watch on the loop and a second thread: within the gateway no key was out of turn; about twice a day the whole process stands still for 100 ms (both threads alike, no CPU used, no garbage collection, no long round: it comes from outside), and a probe of two sockets shows that the event loop then reads the one that became readable last first. So of two batches of one key on two connections the later one was taken first. The other: after a time-out the give-up is one call on a pooled connection (wire/engines.py, _aside); where that is reset the query runs on for 2 s, while the key rests 0.3 s only. Ruled out: starts that are lost (the engine answers 500 for them). Now: batches with a key are told in the order in which their bytes came, by the kernel's age of the connection's data; the module ends a keyed batch 50 ms before its time also while it is out, and the key opens once the give-up was answered, tried three times, or the engine has forgotten the query.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -4,7 +4,7 @@
 """
 
 import heapq
-from collections import defaultdict, deque, namedtuple
+from collections import deque, namedtuple
 from itertools import count
 from math import exp, inf
 from zlib import crc32
@@ -42,17 +42,14 @@
 
     def sums(self, now: int, within: bool = False) -> list[float]:
         oldest = now // self.width - self.buckets + within
-        if max(self.epochs) < oldest:
-            return [0.0] * len(self.rows[0])
         rows = [row for epoch, row in zip(self.epochs, self.rows) if epoch >= oldest]
-        return [sum(column) for column in zip(*rows)]
+        return [sum(column) for column in zip(*rows or [[0.0] * len(self.rows[0])])]
 
 
 class Learned:
     def __init__(self, group: names.ServiceGroup, pages: bool) -> None:
         self.group, self.usual = group, float(group.goal_us) * group.threads / 2
-        self.bias, self.grant = 1.0, 2.0
-        self.spills = 0.02 if pages else 0.15
+        self.bias, self.grant, self.spills = 1.0, 2.0, 0.02 if pages else 0.15
         self.pace, self.latency, self.seen = 1.5, 0.0, 0
 
     def returned(self, batch: "Batch", latency: int, work_us: int) -> float:
@@ -76,7 +73,7 @@
 class Batch:
     def __init__(self, index: int, learned: Learned, now: int, left_us: int, work_us: int, memory_mb: float):
         self.index, self.learned, self.group, self.deadline = index, learned, learned.group, now + left_us
-        self.hint, self.memory_hint = work_us, memory_mb
+        self.hint, self.memory_hint, self.last = work_us, memory_mb, self.deadline - 2 * TICK_US
         self.work = max(1_000.0, work_us * learned.bias or learned.usual)
         self.solo = self.work / self.group.threads
         # Counted from this try: a short time left may be a late try, but also a client that waits less.
@@ -131,12 +128,12 @@
 
 class Engine:
     def __init__(self, index: int, width: float, credit: float, now: int) -> None:
-        self.index, self.credit, self.share = index, credit, 0.0
+        self.index, self.credit, self.share, self.threads = index, credit, 0.0, 0
         self.window = Window(width, NARROWEST, WIDEST, now)
         self.state, self.cold_until, self.load, self.load_at, self.reported = names.GONE, 0, 0.0, 0, False
         self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(3 * PERIOD_US, 6, 2)
-        self.heard, self.shut_until, self.threads = now, 0, 0
-        self.out, self.warm, self.held_sets = {}, deque(maxlen=8), set()
+        self.heard, self.shut_until, self.out, self.sent = now, 0, {}, None
+        self.warm, self.held_sets = deque(maxlen=8), set()
 
     def hear_load(self, now: int, load: float) -> None:
         """The design's moving average; the first report stands as it is."""
@@ -163,15 +160,15 @@
     def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, number: int,
                  least_work: float) -> None:
         self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
-        self.from_us, self.sent = 0, defaultdict(lambda: Ring(fall_us, 10))
-        self.fall_us, self.number, self.least_work = fall_us, number, least_work
+        self.from_us, self.fall_us, self.number, self.least_work = 0, fall_us, number, least_work
 
     def allows(self, now: int, engine: Engine, work: float) -> bool:
         if now >= engine.cold_until or not self.part:
             return True
         mine, turn = self.part * engine.cores, (now - engine.cold_until + self.cold_us) // self.fall_us
         turns = max(1, min(self.cold_us // self.fall_us, int(2 * self.least_work / mine)))
-        work += self.sent[engine.index].sums(now)[0]
+        engine.sent = engine.sent or Ring(self.fall_us, 10)
+        work += engine.sent.sums(now)[0]
         ours = turn % turns == self.number % turns and now >= self.from_us
         return ours and work <= mine * max(1, turns / 2)
 
@@ -231,8 +228,6 @@
     def __init__(self, *, seed, instance, gateways, groups, cores, grants, pages, note_us,
                  report_fields, probes, ask_list, max_dispatches, may_cancel, retry_us, step_us,
                  cold, key_rest_us, budget, costs) -> None:
-        if not groups:
-            raise ValueError("settings name no service group")
         self.seed, self.instance, self.counter = seed, instance, count()
         self.learned = [Learned(group, pages or not grants) for group in groups]
         self.cores, self.gateways = cores, max(1, gateways)
@@ -244,8 +239,8 @@
         self.budget = Budget(*(budget or (inf, 0.0, PERIOD_US)))
         self.cold = ColdGuard(*cold, self.gateways, instance, min(each.usual for each in self.learned))
         self.keys, self.ask_at = KeyLines(key_rest_us), 0 if ask_list else inf
-        self.engines, self.batches = {}, {}
-        self.ready, self.later, self.solved_at, self.wake_at = [], [], 0, 0
+        self.engines, self.batches, self.ready, self.later = {}, {}, [], []
+        self.solved_at, self.wake_at, self.stopping = 0, 0, False
         self.mean_work = sum(each.usual for each in self.learned) / len(self.learned)
         # Over the whole fleet: for all batches, and for small ones by themselves.
         self.fleet, self.threads, self.engine_threads = (), [0, 0], 1.0
@@ -282,8 +277,12 @@
         self.debt = min(DEBT_US * width, max(0.0, self.debt + over * (self.now - self.debt_at)))
         self.debt_at = self.now
 
-    def wake(self, tag: int) -> None:
-        pass
+    def wake(self, tag: int) -> None: ...
+
+    def stop(self) -> None:
+        self.stopping = True  # what is not out yet has better chances elsewhere, and is told so at once
+        for batch in list(self.batches.values()):
+            self._review(batch)
 
     def _sleep(self) -> None:
         """Asks for the next round only where one is needed: most gateways have little traffic."""
@@ -301,15 +300,15 @@
             for index in self.engines.keys() - {entry[0] for entry in entries}:
                 self.engines[index].state = names.GONE
         for index, zone, machine, cell, state, size, started in entries:
-            if index not in self.engines:
-                self.engines[index] = Engine(index, 1.2 / self.gateways, self.chance(index), self.now)
-            engine = self.engines[index]
+            engine = self.engines[index] = self.engines.get(index) or Engine(
+                index, 1.2 / self.gateways, self.chance(index), self.now)
             engine.zone, engine.machine, engine.cell, engine.state = zone, machine, cell, state
             engine.cores = self.cores.get(machine) or size or 1
             if started:
                 engine.cold_until = max(engine.cold_until, started + self.cold.cold_us)
-        self.solved_at = 0
-        live = self._live()
+        # Ids are new for ever: an engine that has gone must leave nothing behind.
+        self.engines = {at: each for at, each in self.engines.items() if each.out or each.state != names.GONE}
+        live, self.solved_at = self._live(), 0
         self.engine_threads = THREADS_PER_CORE * sum(each.cores for each in live) / len(live) if live else 1.0
         fair = len(live) / self.gateways
         if live and not self.fleet:
@@ -330,10 +329,9 @@
         if batch.group.in_order and key is not None:
             batch.key = key
             self.keys.lines.setdefault(key, deque()).append(batch)
-        last = batch.deadline - 2 * TICK_US
-        for due in (min(last, int(batch.goal - 0.5 * batch.solo) + 1), last):
+        for due in (min(batch.last, int(batch.goal - 0.5 * batch.solo) + 1), batch.last):
             heapq.heappush(self.later, (due, next(self.counter), batch))
-        self._hold(batch)
+        self._review(batch)
 
     def answer(self, index, number, engine, outcome, latency, complete, work_us, memory_mb, report) -> None:
         batch, engine = self.batches[index], self.engines[engine]
@@ -371,7 +369,8 @@
             self.out.cancel(batch.index, number)
 
     def probed(self, engine, well, latency_us, report) -> None:
-        self._report(self.engines[engine], report if well else None)
+        if engine in self.engines:
+            self._report(self.engines[engine], report if well else None)
 
     def withdrawn(self, index) -> None:
         if index in self.batches:
@@ -430,6 +429,8 @@
 
     def _solve(self) -> None:
         live, self.solved_at = self._live(), self.now
+        self.keys.resting = {key: until for key, until in self.keys.resting.items() if until > self.now}
+        self.ready = sorted(entry for entry in self.ready if not (entry[2].over or entry[2].out))
         for engine in live if self.load_field is None else ():
             engine.hear_load(self.now, len(engine.out) / engine.cores)
         # Probes are priced by the batch: a gateway with little traffic asks little, each engine in turn.
@@ -457,11 +458,13 @@
     def _hopeless(self, batch: Batch) -> bool:
         """No use left in waiting: nothing to earn, no time, or no further dispatch allowed."""
         soonest = self.now + 0.5 * batch.solo  # estimates scatter: half the estimated run may be all of it
-        last = min(batch.deadline - 2 * TICK_US, inf if batch.group.late_utility else batch.goal)
-        return soonest > last or batch.sends >= self.max_dispatches or not batch.may_resend(self.now)
+        last = min(batch.last, inf if batch.group.late_utility else batch.goal)
+        spent = batch.sends >= self.max_dispatches or not batch.may_resend(self.now)
+        return soonest > last or spent or self.stopping
 
     def _review(self, batch: Batch) -> None:
-        if not batch.over and not batch.out:
+        # With a key it is ended while still out: its dispatch holds the key until it is surely over.
+        if not batch.over and (not batch.out or (batch.key is not None and self.now >= batch.last)):
             (self._give_up if self._hopeless(batch) else self._hold)(batch)
 
     def _give_up(self, batch: Batch) -> None:
@@ -529,8 +532,8 @@
         engine.threads += batch.group.threads
         self.threads[batch.small] += batch.group.threads
         self.budget.spent.add(self.now, batch.sends > 0)
-        if engine.index in self.cold.sent:
-            self.cold.sent[engine.index].add(self.now, max(batch.learned.usual, batch.work))
+        if engine.sent:
+            engine.sent.add(self.now, max(batch.learned.usual, batch.work))
         batch.sends += 1
         batch.tried.add(engine.index)
         if batch.group.holds_set:
@@ -553,6 +556,4 @@
         """A load frees its data set; small batches take little from others and are late soonest."""
         dearest = max(each.group.utility / each.usual for each in self.learned)
         value = batch.group.utility / batch.work / dearest
-        if batch.group.holds_set or batch.small:
-            return 3
-        return 2 if value > 0.2 else 1 if value > 0.05 else 0
+        return 3 if batch.group.holds_set or batch.small else 2 if value > 0.2 else 1 if value > 0.05 else 0
--- a/pathturn/core/interface.py
+++ b/pathturn/core/interface.py
@@ -65,7 +65,7 @@
     batch(batch, group, customer, key, left_us, work_us, memory_mb, data_set, repeat); work 0 = no estimate
     answer(batch, dispatch, engine, outcome, latency_us, complete, work_us, memory_mb, report)
     note(batch, engine, sort, level, dispatch); probed(engine, well, latency_us, report)
-    withdrawn(batch); wake(tag)
+    withdrawn(batch); wake(tag); stop(): the process ends once what is out is over
     """
 
     def round(self, now_us: int, events: list[tuple], writer: Writer) -> None: ...
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -26,6 +26,7 @@
         self.tells_cost, self.log_line = tells_cost, log
         self.batches, self.roster = OpenBatches(), Roster()
         self.events: list[tuple] = []
+        self.keyed: list[tuple[int, int]] = []
         self.came, self.wake_at = Event(), inf
         self.follows_list = Event()
 
@@ -40,11 +41,12 @@
     def is_open(self, ticket: str) -> bool:
         return ticket in self.batches.tickets
 
-    def take(self, ticket: str, group: str, left_us: int, nonce: str | None, key: str | None,
-             customer: str | None, work_us: int, memory_mb: float, data_set: int, repeat: bool,
-             statement: bytes) -> Batch:
-        until_us = self.clock() + left_us
-        batch = self.batches.open(ticket, group, nonce, key is not None, statement, until_us)
+    def take(self, arrived_us: int, ticket: str, group: str, left_us: int, nonce: str | None,
+             key: str | None, customer: str | None, work_us: int, memory_mb: float, data_set: int,
+             repeat: bool, statement: bytes) -> Batch:
+        batch = self.batches.open(ticket, group, nonce, key is not None, statement, arrived_us + left_us)
+        if batch.keyed:
+            self.keyed.append((arrived_us, len(self.events)))
         self._tell("batch", batch.index, self.group_index[group], customer, key, left_us, work_us, memory_mb,
                    data_set, repeat)
         return batch
@@ -92,7 +94,10 @@
         """The whole list, or that it could not be had."""
         self._tell("listing", form, [] if form == names.FAILED else self.roster.rows(told))
 
-    # For whoever runs the rounds.
+    # For whoever starts and stops it, and runs the rounds.
+    def stop(self) -> None:
+        self._tell("stop")
+
     def wait(self) -> None:
         """Until something came in, or the module asked to be woken."""
         if not self.came.is_set():
@@ -101,13 +106,22 @@
         self.came.clear()
 
     def tick(self) -> None:
-        now = self.clock()
-        events, self.events = [self._as_of(now, event) for event in self.events], []
+        now, events = self.clock(), self._in_turn()
+        events = [self._as_of(now, event) for event in events]
         if now >= self.wake_at:
             self.wake_at = inf
             events.append(("wake", 0))
         self.decider.round(now, events, self)
 
+    def _in_turn(self) -> list[tuple]:
+        """What came in, with batches that have a key in the order in which they came."""
+        events, keyed = self.events, self.keyed
+        self.events, self.keyed = [], []
+        ordered = [events[at] for _, at in sorted(keyed)]
+        for (_, at), event in zip(keyed, ordered):
+            events[at] = event
+        return events
+
     def _as_of(self, now: int, event: tuple) -> tuple:
         """A batch's time has run on between its last byte and the round."""
         if event[0] != "batch" or event[1] not in self.batches.by_index:
--- a/pathturn/memory/pools.py
+++ b/pathturn/memory/pools.py
@@ -43,9 +43,11 @@
 
     def prune(self) -> None:
         oldest = self.clock() - self.idle_us
-        for waiting in self.idle.values():
+        for place, waiting in list(self.idle.items()):
             while waiting and waiting[0].idle_us <= oldest:
                 self.drop(waiting.pop(0), "idle")
+            if not waiting:
+                del self.idle[place]  # engines are replaced for ever
 
     def keep_only(self, places: set[Place]) -> None:
         """Drops what is idle to engines that have gone: another may have the address next."""
--- a/pathturn/memory/roster.py
+++ b/pathturn/memory/roster.py
@@ -1,5 +1,7 @@
 """The list of engines as last told: small indices for ids, and where each one listens."""
 
+from itertools import count
+
 from pathturn.core.interface import READY
 
 # An engine's index with its address: a new engine may have the address of one that has gone.
@@ -8,19 +10,23 @@
 
 class Roster:
     def __init__(self) -> None:
-        self.index_of: dict[str, int] = {}
+        self.numbers, self.index_of = count(), {}
         self.place: dict[int, Place] = {}
         self.ready: set[int] = set()
-        self.places: set[Place] = set()
+
+    @property
+    def places(self) -> set[Place]:
+        return set(self.place.values())
 
     def rows(self, told: list[tuple]) -> list[tuple]:
-        """The list with ids as indices, for the decision module; an id keeps its index when it comes back."""
-        rows, ready = [], set()
+        """The list with ids as indices, for the decision module. Of those gone nothing is kept, as new ids
+        come for ever; one that comes back is a new engine."""
+        rows, index_of, place, ready = [], {}, {}, set()
         for identity, address, zone, machine, cell, state, size, started_ms in told:
-            index = self.index_of.setdefault(identity, len(self.index_of))
-            self.place[index] = (index, address)
+            index = self.index_of[identity] if identity in self.index_of else next(self.numbers)
+            index_of[identity], place[index] = index, (index, address)
             if state == READY:
                 ready.add(index)
             rows.append((index, zone, machine, cell, state, size, started_ms * 1000))
-        self.ready, self.places = ready, {self.place[row[0]] for row in rows}
+        self.index_of, self.place, self.ready = index_of, place, ready
         return rows
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -113,6 +113,7 @@
         self.log("stopping")
         gevent.sleep(STILL_COMING_S)
         self.server.close()
+        self.facade.stop()
         while len(self.facade.batches):
             gevent.sleep(self.step_s)
         # The last answers may still be on their way out of their greenlets.
--- a/pathturn/process/settings.py
+++ b/pathturn/process/settings.py
@@ -44,6 +44,8 @@
     report = config.get("report") or {}
     entries, kinds = config.get("classes") or [], config.get("kinds") or []
     groups = {entry["name"]: _group(entry, index, domain) for index, entry in enumerate(entries)}
+    if not groups:
+        raise ValueError("settings name no service group")
     budget = None
     if rules.get("budgetSpanUs"):
         budget = (rules.get("freeResends") or 0, rules.get("extraPerRequest") or 0.0, rules["budgetSpanUs"])
--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -1,5 +1,6 @@
 """Clients' connections: a greenlet reads each, and each batch has a greenlet of its own."""
 
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -19,8 +20,11 @@
 MOST_OPEN, IDLE_S = 32, 5.0
 # A client that sends nothing whole, or reads nothing, is owed an end within 3 s of connecting.
 HALF_S, WRITE_S = 2.0, 2.0
-# What is turned away often comes back at once: after each such call the reader rests, other clients do not.
-REST_S, LONGEST_REST_S = 0.05, 0.5
+LAST_DATA_AT = 52  # in the kernel's tcp_info: milliseconds since data came, in 32 bits
+COARSE_US = 20_000  # that age goes by the kernel's ticks; batches of one key are written 60 ms apart
+# So much a connection is taken to ask for: a line each millisecond, and far fewer that are turned away, as
+# those often come back at once. For what is beyond a burst its reader rests, and the others do not.
+LINE_US, FAULT_US, BURST_US, LONGEST_REST_US = 1_000, 50_000, 100_000, 500_000
 
 
 class Session:
@@ -29,12 +33,12 @@
         self.link, self.facade, self.send, self.buffers, self.ready = link, facade, send, buffers, ready
         self.writing, self.open, self.answering, self.taken = RLock(), {}, Group(), 0
         self.lines, self.code, self.last, self.faults = jsonrpc.Lines(longest_line), "", 0, 0
-        self.heard_us, self.half_us, self.proven = facade.clock(), 0, False
-        link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.heard_us, self.half_us, self.proven, self.paced_us = facade.clock(), 0, False, 0
 
     def serve(self) -> str:
         """Reads until the connection ends; returns the code for why it did."""
         try:
+            self.link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             return self._read()
         except OSError as fault:
             return self.code or f"lost_{type(fault).__name__}"
@@ -43,6 +47,8 @@
             self.fault(None, jsonrpc.MALFORMED)
             self.answering.join()
             return str(fault)
+        except Exception as fault:  # noqa: BLE001 - whatever a client sent must end its own connection alone
+            return f"fault_{type(fault).__name__}"
         finally:
             for batch in list(self.open.values()):
                 self.facade.leave(batch)
@@ -74,14 +80,26 @@
                 size = self.link.recv_into(buffer)
                 if not size:
                     return "client_closed"
-                faults, halves = self.faults, bool(self.lines.rest)
+                faults, halves, lines = self.faults, bool(self.lines.rest), 0
                 for line in self.lines.feed(buffer[:size]):
-                    self.proven, halves, self.heard_us = True, False, self.facade.clock()
+                    self.proven, halves, self.heard_us, lines = True, False, self.facade.clock(), lines + 1
                     jsonrpc.read(line, self)
                 if self.lines.rest and not halves:
                     self.half_us = self.facade.clock()
-            # Also where nothing was wrong: a socket that always has more never lets the others run.
-            gevent.sleep(min(LONGEST_REST_S, REST_S * (self.faults - faults)))
+            # Also where there is nothing to pay for: a socket that always has more never lets others run.
+            gevent.sleep(self._rest_s(lines, self.faults - faults))
+
+    def _rest_s(self, lines: int, faults: int) -> float:
+        now = self.facade.clock()
+        self.paced_us = max(self.paced_us, now - BURST_US) + lines * LINE_US + faults * FAULT_US
+        return min(LONGEST_REST_US, max(0, self.paced_us - now)) / 1e6
+
+    def _arrived_us(self) -> int:
+        """When the connection's last bytes came. After a standstill the event loop has the last one that
+        became readable read first: taken in that order, batches of one key would change places."""
+        told = self.link.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_AT + 4)
+        age_us = int.from_bytes(told[LAST_DATA_AT:], sys.byteorder) * 1000
+        return self.facade.clock() - (age_us if age_us > COARSE_US else 0)
 
     def _write(self, line: bytes) -> None:
         with self.writing:
@@ -130,8 +148,8 @@
             # Engines know a query by its ticket alone: the two would be answered with each other's rows.
             self.fault(number, jsonrpc.INVALID)
             return
-        batch = self.facade.take(ticket, group, left_us, nonce, key, customer, work_us, memory_mb,
-                                 data_set(statement.decode()), repeat, statement)
+        batch = self.facade.take(self._arrived_us(), ticket, group, left_us, nonce, key, customer, work_us,
+                                 memory_mb, data_set(statement.decode()), repeat, statement)
         self.open[number] = batch
         self.taken += 1
         self.answering.spawn(self._see_through, number, batch)
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -16,6 +16,7 @@
 Answer = tuple[int, dict[str, str], bytes]
 # A spoilt answer comes whole when asked for again; an engine that fails so often in a row has lost it.
 TRIES, PAUSE_S = 6, 0.01
+GIVE_UPS = 3  # connections get reset under this call too; a machine that is mute to all of them is cut off
 
 
 class CalledBack(gevent.GreenletExit):
@@ -50,7 +51,10 @@
             self._done(trip, names.UNREACHABLE)
         except Lost as fault:
             trip.drop(f"lost_{fault}")
-            self._done(trip, names.UNSENT if isinstance(fault, Unsent) else names.RESET)
+            if dispatch.batch.keyed and not isinstance(fault, Unsent):
+                gevent.spawn(self._see_out, trip, names.RESET)
+            else:
+                self._done(trip, names.UNSENT if isinstance(fault, Unsent) else names.RESET)
         except Exception as fault:  # noqa: BLE001 - without an outcome its batch would never be answered
             trip.drop(f"fault_{type(fault).__name__}")
             self._done(trip, names.ERRORED if trip.begun else names.UNSENT)
@@ -61,17 +65,23 @@
                 self._give_up(dispatch)
         except CalledBack:
             trip.drop("called_back")
-            self._call_back(trip)
-
-    def _call_back(self, trip: "Trip") -> None:
-        # Never beyond the batch's own time: as long as the outcome is missing, nothing can end the batch.
-        with gevent.Timeout(self._left_s(trip.dispatch), False):
-            alone = trip.dispatch.batch.keyed or not self.copies_allowed
-            if trip.begun and not self._give_up(trip.dispatch) and alone:
-                # Against two dispatches at once, of a batch or of its key: unasked for this long, the first
-                # has ended by itself.
-                gevent.sleep(warehouse.FORGOTTEN_US / 1e6)
-        self._done(trip, names.CANCELLED if trip.begun else names.UNSENT)
+            if trip.begun:
+                gevent.spawn(self._see_out, trip, names.CANCELLED)
+            else:
+                self._done(trip, names.UNSENT)
+
+    def _see_out(self, trip: "Trip", outcome: str) -> None:
+        """Against two dispatches at once, of a batch or of its key: the outcome waits until the engine has
+        heard that the query is given up or, unasked for so long, has ended it by itself. With a key this may
+        outlast the batch, which the module ends in time; without, the missing outcome would hold up its end.
+        In a greenlet of its own: one that is called back meanwhile would never report."""
+        dispatch, keyed = trip.dispatch, trip.dispatch.batch.keyed
+        forgotten_us = self.clock() + warehouse.FORGOTTEN_US
+        with gevent.Timeout(None if keyed else self._left_s(dispatch), False):
+            told = any(self._give_up(dispatch) for _ in range(GIVE_UPS if keyed else 1))
+            if not told and (keyed or not self.copies_allowed):
+                gevent.sleep(max(0, forgotten_us - self.clock()) / 1e6)
+        self._done(trip, outcome)
 
     def _left_s(self, dispatch: Dispatch) -> float:
         return max(0, dispatch.until_us - self.clock()) / 1e6
@@ -124,7 +134,7 @@
         self._aside(dispatch, lambda host, ticket: warehouse.rank(host, ticket, priority))
 
     def _aside(self, dispatch: Dispatch, request: Callable[[str, str], bytes]) -> bool:
-        """A call beside the one that asks for news; whether it was answered within a dial's time."""
+        """A call beside the one that asks for news; whether it was answered in time."""
         trip = Trip(dispatch, self.pools)
         try:
             with gevent.Timeout(self.pools.dial_s, TimeUp):
@@ -132,7 +142,9 @@
                 trip.line.call(request(trip.line.host, dispatch.batch.ticket), trip.patience_s)
             trip.end()
             return True
-        except (Unreachable, Lost, TimeUp):
+        except Unreachable as fault:
+            return fault.refused  # its process is gone, and the query with it
+        except (Lost, TimeUp):
             return False
         finally:
             trip.drop("unanswered")
--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -10,7 +10,11 @@
 
 
 class Unreachable(Exception):
-    """No connection came up, which proves that nothing ran."""
+    """No connection came up, which proves that nothing ran; refused, that no process is there."""
+
+    def __init__(self, fault: OSError) -> None:
+        super().__init__(type(fault).__name__)
+        self.refused = isinstance(fault, ConnectionRefusedError)
 
 
 class Lost(Exception):
@@ -35,8 +39,9 @@
         except OSError as fault:
             self.close(f"undialled_{type(fault).__name__}")
             # Whoever resets a dial is there: taken for one that is down, it would count as started anew.
-            kind = Unsent if isinstance(fault, ConnectionResetError) else Unreachable
-            raise kind(type(fault).__name__) from fault
+            if isinstance(fault, ConnectionResetError):
+                raise Unsent("ConnectionResetError") from fault
+            raise Unreachable(fault) from fault
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def call(self, request: bytes, patience_s: float) -> tuple[int, dict[str, str], bytes]:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -189,6 +189,7 @@
 
     def __init__(self, words):
         self.words, self.asked, self.queries = list(words) or ["rows:1"], [], {}
+        self.torn_deletes = 0
         self.server = StreamServer(("127.0.0.1", 0), self.serve)
         self.server.start()
 
@@ -210,7 +211,12 @@
                 self.news(link, ticket)
             elif verb == "GET":
                 self.page(link, *path.split("/")[2:])
-            elif self.queries.pop(path.split("/")[2], ("",))[0] != "mute":
+            elif verb == "DELETE" and self.torn_deletes:
+                self.torn_deletes -= 1
+                link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                link.close()
+            elif self.queries.get(path.split("/")[2], ("",))[0] != "mute":
+                self.queries.pop(path.split("/")[2], None)
                 self.answer(link, 204)
 
     def posts(self):
@@ -422,6 +428,9 @@
         gevent.sleep(0.1)
         assert self.ended, "the connection is still open"
 
+    def tears_deletes(self, name, times):
+        self.engines[name].torn_deletes = int(times)
+
     def stranger(self, *pieces):
         """Another connection that sends these pieces; whoever reads it gets what came back, then an end."""
         link = socket.create_connection(self.listen)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -214,16 +214,30 @@
     assert session.overdue(9_000_000) is None and not session.at_rest()
 
 
-def test_a_client_that_asks_and_never_reads_does_not_hold_its_writers(rig, monkeypatch) -> None:
+def test_a_client_that_never_reads_does_not_hold_its_writer(rig, monkeypatch) -> None:
     monkeypatch.setattr("pathturn.wire.clients.WRITE_S", 0.2)
+    rig.start()
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+    session = Session(ours, rig.gateway.facade, None, None, None, 100)
+    with gevent.Timeout(2):
+        session._write(bytes(1 << 23))
+    assert session.code == "unread" and ours.closed
+    theirs.close()
+
+
+def test_a_flood_of_lines_leaves_the_others_their_time(rig) -> None:
     rig.engine("e")
     rig.start()
     line = b'{"jsonrpc":"2.0","id":%d,"method":"ping"}\n'
-    rig.stranger(*(line % number for number in range(1, 200_000)))
-    with gevent.Timeout(20):
-        while not rig.gateway.sessions.held or len(rig.gateway.sessions.held) > 1:
-            gevent.sleep(0.1)
-    rig.call(1, "look")
+    for _ in range(4):
+        rig.stranger(*(b"".join(line % (1000 * part + number) for number in range(1, 1001))
+                       for part in range(100)))
+    gevent.sleep(0.1)
+    rig.call(1, "look", patience=300)
     rig.returned(1)
 
 
@@ -282,6 +296,25 @@
         assert asked.count("POST") == 6 and "DELETE" not in asked
 
 
+def test_batches_of_one_key_keep_their_order_over_a_standstill(rig, tmp_path) -> None:
+    """The event loop has the last socket that became readable read first."""
+    rig.engine("e")
+    with process(rig, tmp_path) as running:
+        first, second, rig.client = rig.client, socket.create_connection(rig.listen), None
+        rig.greenlets.append(gevent.spawn(rig.read, second))
+        gevent.sleep(0.1)
+        for round_of in range(3):
+            running.send_signal(signal.SIGSTOP)
+            for number, rig.client in ((1, first), (2, second)):
+                rig.call(2 * round_of + number, "load", key="k")
+                gevent.sleep(0.06)
+            running.send_signal(signal.SIGCONT)
+            gevent.sleep(0.2)
+        sent = [each[2]["x-ticket"] for each in rig.engines["e"].posts()]
+        assert sent == [f"{number:016x}" for number in range(1, 7)]
+        second.close()
+
+
 def test_a_stopped_process_answers_what_it_took_and_ends_well(rig, tmp_path) -> None:
     rig.engine("e", "runs:1200")
     with process(rig, tmp_path) as running:
@@ -298,6 +331,39 @@
         assert running.returncode == 0
 
 
+def test_what_comes_late_to_a_stopping_process_is_turned_away_at_once(rig, tmp_path) -> None:
+    rig.engine("e", "runs:1500")
+    with process(rig, tmp_path) as running:
+        rig.call(1, "load", patience=4000)
+        gevent.sleep(0.1)
+        running.send_signal(signal.SIGTERM)
+        running.send_signal(signal.SIGHUP)
+        gevent.sleep(0.8)
+        rig.call(2, "look")
+        rig.call(3, "load", key="k1")
+        rig.pushed_back(2, within=150)
+        rig.pushed_back(3, within=150)
+        rig.returned(1)
+
+
+def test_replaced_engines_leave_nothing_behind(rig) -> None:
+    """For as long as a gateway runs, engines come with new ids, some at the address of one that has gone."""
+    rig.engine("e0")
+    rig.start()
+    for number in range(1, 6):
+        server = rig.engines[f"e{number - 1}"]
+        rig.change(f"e{number - 1}", "gone")
+        rig.engines[f"e{number}"], rig.states[f"e{number}"] = server, "in_service"
+        gevent.sleep(0.4)
+        rig.call(number, "load", key="k")
+        rig.returned(number)
+    gevent.sleep(0.4)
+    decider, facade, pools = rig.gateway.facade.decider, rig.gateway.facade, rig.gateway.pools
+    assert len(decider.engines) == len(facade.roster.place) == len(facade.roster.index_of) == 1
+    assert [place[0] for place in pools.idle] == list(decider.engines) == [5]
+    assert not decider.keys.lines and not facade.batches.tickets and len(rig.engines["e0"].posts()) == 5
+
+
 def test_a_reloaded_process_follows_the_directory_it_is_told_of_and_keeps_what_is_open(rig, tmp_path) -> None:
     rig.engine("e", "runs:900")
     rig.engine("f", "runs:900")
