A batch whose place in its key's order is not known after a standstill is pushed back

Checked: the kernel's age of a connection's data tells of its last bytes only; where another line came behind the keyed one it misled (timestamps of received bytes were probed too: the kernel joins them and keeps the last). The standstills come about twice a minute and process, of 100 to 120 ms, end on a 100 ms grid and use no CPU: from outside, not to be mended here. So the order in which such batches came cannot be known. Nothing of them has run: the first one read goes on, and the module pushes the others back (event 'unsure'), which is harmless and in time. A beat of 10 ms tells standstills, and logs them.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -234,17 +234,16 @@
         self.grants, self.note_us, self.costs = grants, note_us, costs
         # Of utilisations, cores before disks before memory: the design's order, carried on where it ends.
         self.load_field = next((field for field in LOADS if field in report_fields), None)
-        self.fields, self.probes, self.step_us = report_fields, probes, step_us
+        self.fields, self.probes, self.step_us, self.stopping = report_fields, probes, step_us, False
         self.max_dispatches, self.may_cancel, self.retry_us = max_dispatches, may_cancel, retry_us
         self.budget = Budget(*(budget or (inf, 0.0, PERIOD_US)))
         self.cold = ColdGuard(*cold, self.gateways, instance, min(each.usual for each in self.learned))
         self.keys, self.ask_at = KeyLines(key_rest_us), 0 if ask_list else inf
-        self.engines, self.batches, self.ready, self.later = {}, {}, [], []
-        self.solved_at, self.wake_at, self.stopping = 0, 0, False
+        self.engines, self.batches, self.ready, self.later, self.wake_at = {}, {}, [], [], 0
         self.mean_work = sum(each.usual for each in self.learned) / len(self.learned)
         # Over the whole fleet: for all batches, and for small ones by themselves.
         self.fleet, self.threads, self.engine_threads = (), [0, 0], 1.0
-        self.debt, self.debt_at, self.asks, self.asked = 0.0, 0, 0.0, seed
+        self.debt, self.debt_at, self.solved_at, self.asks, self.asked = 0.0, 0, 0, 0.0, seed
 
     def _live(self) -> list[Engine]:
         return [engine for engine in self.engines.values() if engine.state == names.READY]
@@ -369,15 +368,18 @@
             self.out.cancel(batch.index, number)
 
     def probed(self, engine, well, latency_us, report) -> None:
-        if engine in self.engines:
-            self._report(self.engines[engine], report if well else None)
+        self._report(self.engines.get(engine), report if well else None)
+
+    def unsure(self, index) -> None:
+        if index in self.batches:  # sent out of its key's order it could not be taken back; now it still can
+            self._give_up(self.batches[index])
 
     def withdrawn(self, index) -> None:
         if index in self.batches:
             self._close(self.batches[index])
 
-    def _report(self, engine: Engine, report: list[float] | None) -> None:
-        told = dict(zip(self.fields, report or ()))
+    def _report(self, engine: Engine | None, report: list[float] | None) -> None:
+        told = dict(zip(self.fields, (engine and report) or ()))
         if self.load_field in told:
             per = engine.cores if self.load_field == "held" else 1
             engine.hear_load(self.now, told[self.load_field] / per)
@@ -502,15 +504,13 @@
         return engine.shut_until <= self.now and not locked and engine.window.fits(threads, not engine.out)
 
     def _choose(self, batch: Batch) -> Engine | None:
-        def standing(engine: Engine) -> float:
-            return engine.credit + 0.5 * (batch.data_set in engine.warm) - 100 * (engine.index in batch.tried)
-
         out = self.threads[1] if batch.small else sum(self.threads)
         wanted, free = (out + batch.group.threads) / self.engine_threads, batch.small or not self.debt
         if not self.fleet or not self.fleet[batch.small].fits(wanted, free and not out):
             return None
         fits = (each for each in self.engines.values() if self._room(batch, each) and self._gate(batch, each))
-        return max(fits, key=standing, default=None)
+        return max(fits, default=None, key=lambda each: each.credit + 0.5 * (batch.data_set in each.warm)
+                   - 100 * (each.index in batch.tried))
 
     def _pump(self) -> None:
         passed = []
--- a/pathturn/core/interface.py
+++ b/pathturn/core/interface.py
@@ -66,6 +66,7 @@
     answer(batch, dispatch, engine, outcome, latency_us, complete, work_us, memory_mb, report)
     note(batch, engine, sort, level, dispatch); probed(engine, well, latency_us, report)
     withdrawn(batch); wake(tag); stop(): the process ends once what is out is over
+    unsure(batch): one of its key came about the same time, and it is not known which came first
     """
 
     def round(self, now_us: int, events: list[tuple], writer: Writer) -> None: ...
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -16,6 +16,8 @@
 
 # The module ends a batch before its time; the protocol leaves 50 ms after it.
 OVERDUE_US = 20_000
+# By the protocol batches of one key are written no less than 60 ms apart.
+STANDSTILL_US = 50_000
 
 
 class Facade:
@@ -26,7 +28,8 @@
         self.tells_cost, self.log_line = tells_cost, log
         self.batches, self.roster = OpenBatches(), Roster()
         self.events: list[tuple] = []
-        self.keyed: list[tuple[int, int]] = []
+        self.first_of: dict[str, object] = {}
+        self.beat_us, self.stood_us = clock(), 0
         self.came, self.wake_at = Event(), inf
         self.follows_list = Event()
 
@@ -41,14 +44,17 @@
     def is_open(self, ticket: str) -> bool:
         return ticket in self.batches.tickets
 
-    def take(self, arrived_us: int, ticket: str, group: str, left_us: int, nonce: str | None,
+    def take(self, source: object, ticket: str, group: str, left_us: int, nonce: str | None,
              key: str | None, customer: str | None, work_us: int, memory_mb: float, data_set: int,
              repeat: bool, statement: bytes) -> Batch:
-        batch = self.batches.open(ticket, group, nonce, key is not None, statement, arrived_us + left_us)
-        if batch.keyed:
-            self.keyed.append((arrived_us, len(self.events)))
+        until_us = self.clock() + left_us
+        batch = self.batches.open(ticket, group, nonce, key is not None, statement, until_us)
         self._tell("batch", batch.index, self.group_index[group], customer, key, left_us, work_us, memory_mb,
                    data_set, repeat)
+        # The event loop reads first what became readable last: over a standstill batches of one key that came
+        # on two connections change places, and nothing tells when each came.
+        if key is not None and self.first_of.setdefault(key, source) is not source and self._stood():
+            self._tell("unsure", batch.index)
         return batch
 
     def pick(self, batch: Batch) -> Dispatch | End:
@@ -98,6 +104,19 @@
     def stop(self) -> None:
         self._tell("stop")
 
+    def beat(self) -> None:
+        """Told every few milliseconds; a gap is a standstill of the whole process."""
+        now = self.clock()
+        if now - self.beat_us > STANDSTILL_US:
+            self.stood_us = now
+            self.log_line(f"stood still for {(now - self.beat_us) // 1000} ms")
+        self.beat_us = now
+
+    def _stood(self) -> bool:
+        """Whether what is read now may have come in one; the beat that tells of it may come only next."""
+        now = self.clock()
+        return now - self.beat_us > STANDSTILL_US or now - self.stood_us < STANDSTILL_US
+
     def wait(self) -> None:
         """Until something came in, or the module asked to be woken."""
         if not self.came.is_set():
@@ -106,22 +125,15 @@
         self.came.clear()
 
     def tick(self) -> None:
-        now, events = self.clock(), self._in_turn()
-        events = [self._as_of(now, event) for event in events]
+        now = self.clock()
+        events, self.events = [self._as_of(now, event) for event in self.events], []
+        if not self._stood():
+            self.first_of.clear()
         if now >= self.wake_at:
             self.wake_at = inf
             events.append(("wake", 0))
         self.decider.round(now, events, self)
 
-    def _in_turn(self) -> list[tuple]:
-        """What came in, with batches that have a key in the order in which they came."""
-        events, keyed = self.events, self.keyed
-        self.events, self.keyed = [], []
-        ordered = [events[at] for _, at in sorted(keyed)]
-        for (_, at), event in zip(keyed, ordered):
-            events[at] = event
-        return events
-
     def _as_of(self, now: int, event: tuple) -> tuple:
         """A batch's time has run on between its last byte and the round."""
         if event[0] != "batch" or event[1] not in self.batches.by_index:
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -27,6 +27,7 @@
 from pathturn.wire.lookup import Lookup
 
 PRUNE_S = 0.25
+BEAT_S = 0.01  # often enough to tell a standstill from a busy moment, and not felt in the CPU
 # The protocol's figure: batches still come in for this long after SIGTERM.
 STILL_COMING_S = 0.7
 
@@ -59,7 +60,7 @@
     def run(self) -> None:
         """Serves, once its server has been started, until a stop is asked for and nothing taken is open."""
         self.lookup.follow(self.names)
-        for part in (self._rounds, self._prune):
+        for part in (self._rounds, self._beat, self._prune):
             self.parts.spawn(part)
         # What is there by now stays: the collector's longest passes need not go over it again and again.
         gc.freeze()
@@ -102,6 +103,11 @@
         self.sessions.leave(session)
         self.log(f"client {peer[0]}:{peer[1]} taken={session.taken} code={code}")
 
+    def _beat(self) -> None:
+        while True:
+            self.facade.beat()
+            gevent.sleep(BEAT_S)
+
     def _prune(self) -> None:
         while True:
             gevent.sleep(PRUNE_S)
--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -1,6 +1,5 @@
 """Clients' connections: a greenlet reads each, and each batch has a greenlet of its own."""
 
-import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -20,8 +19,6 @@
 MOST_OPEN, IDLE_S = 32, 5.0
 # A client that sends nothing whole, or reads nothing, is owed an end within 3 s of connecting.
 HALF_S, WRITE_S = 2.0, 2.0
-LAST_DATA_AT = 52  # in the kernel's tcp_info: milliseconds since data came, in 32 bits
-COARSE_US = 20_000  # that age goes by the kernel's ticks; batches of one key are written 60 ms apart
 # So much a connection is taken to ask for: a line each millisecond, and far fewer that are turned away, as
 # those often come back at once. For what is beyond a burst its reader rests, and the others do not.
 LINE_US, FAULT_US, BURST_US, LONGEST_REST_US = 1_000, 50_000, 100_000, 500_000
@@ -94,13 +91,6 @@
         self.paced_us = max(self.paced_us, now - BURST_US) + lines * LINE_US + faults * FAULT_US
         return min(LONGEST_REST_US, max(0, self.paced_us - now)) / 1e6
 
-    def _arrived_us(self) -> int:
-        """When the connection's last bytes came. After a standstill the event loop has the last one that
-        became readable read first: taken in that order, batches of one key would change places."""
-        told = self.link.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_AT + 4)
-        age_us = int.from_bytes(told[LAST_DATA_AT:], sys.byteorder) * 1000
-        return self.facade.clock() - (age_us if age_us > COARSE_US else 0)
-
     def _write(self, line: bytes) -> None:
         with self.writing:
             try:
@@ -148,8 +138,8 @@
             # Engines know a query by its ticket alone: the two would be answered with each other's rows.
             self.fault(number, jsonrpc.INVALID)
             return
-        batch = self.facade.take(self._arrived_us(), ticket, group, left_us, nonce, key, customer, work_us,
-                                 memory_mb, data_set(statement.decode()), repeat, statement)
+        batch = self.facade.take(self, ticket, group, left_us, nonce, key, customer, work_us, memory_mb,
+                                 data_set(statement.decode()), repeat, statement)
         self.open[number] = batch
         self.taken += 1
         self.answering.spawn(self._see_through, number, batch)
