--- a/pathturn/__main__.py
+++ b/pathturn/__main__.py
@@ -2,5 +2,10 @@
 
 from pathturn.cli import app
 
-if __name__ == "__main__":
+
+def main() -> None:
     app(prog_name="pathturn")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pathturn/change/conductor.py
@@ -0,0 +1,301 @@
+"""Carries a change through its life: ledger, tables, watch. What to do is told by `states` and `guard`; here
+it is done, each step in the ledger before it takes effect.
+
+Requests come one at a time, also those of the watch itself: whoever comes second finds the first one's state.
+"""
+
+from collections.abc import Callable, Generator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import gevent
+from gevent.lock import RLock
+
+from pathturn.background.scheduler import Scheduler
+from pathturn.change import states
+from pathturn.change.guard import BESIDE, LEFT, TOUCHED, Before, Ended, Finding, Guard
+from pathturn.change.ledger import Ledger, Unwritten, digest
+from pathturn.change.memory import Lately
+from pathturn.change.states import Change, Refused, Sight
+from pathturn.config.document import Document
+from pathturn.config.read import Unusable, canonical, parse, reading, through
+from pathturn.core import interface as names
+from pathturn.memory.batches import Batch, End
+from pathturn.memory.facade import Facade
+from pathturn.routing.checks import Facts, checking
+from pathturn.routing.router import Router, touches, traits
+from pathturn.routing.table import Table
+
+LOOK_S = 0.25  # how often the watch looks
+DISK_S = 2.0  # an undo waits so long for its place in the ledger; a crash would undo it all the same
+URGENT, USUAL = 1, 5  # priorities of background jobs: what a watched change waits for, and the rest
+LONGEST_TEXT = 2_000  # of who and why
+
+
+class Request(NamedTuple):
+    """A change as an operator asks for it; the same id twice is the same change."""
+
+    id: str
+    base: int
+    who: str
+    why: str
+    document: Any
+
+
+class Conductor:
+    def __init__(self, facade: Facade, ledger: Ledger, scheduler: Scheduler, facts: Callable[[], Facts],
+                 clock: Callable[[], int], log: Callable[[str], None]) -> None:
+        self.facade, self.ledger, self.scheduler, self.facts = facade, ledger, scheduler, facts
+        self.clock, self.log = clock, log
+        self.router, self.lately, self.lock = Router(), Lately(), RLock()
+        self.change: Change | None = None
+        self.table: Table | None = None
+        self.guard: Guard | None = None
+        self.began_us, self.undo_us, self.stopped = 0, 0, False
+
+    # Start and stop.
+    def start(self, document: Path) -> None:
+        """Before the first batch: what was not kept is undone, then the kept generation is put in force.
+        Raises Unusable, Broken or Unwritten."""
+        ended = self.ledger.recover(self.clock())
+        if ended is not None:
+            self.log(f"change {ended.id} code=undone reason={ended.reason}")
+        number = self.ledger.present()
+        if not number:
+            first = self._checked(through(reading(parse(document.read_bytes()))))
+            number = self.ledger.first(first)
+        self.router.listing(self.facade.roster.seats)
+        table = Table(number, self.ledger.document(number), self.facade.groups)
+        through(self.router.compile(table))
+        self.router.settle(table)
+        self.facade.follow(self.router, traits, self.ended)
+        self.log(f"generation {number} code=in_force routes={len(table.ways)} pools={len(table.pools)}")
+
+    def _checked(self, document: Document) -> Document:
+        faults = through(checking(document, self.facts()))
+        if faults:
+            raise Unusable(faults)
+        return document
+
+    def run(self) -> None:
+        while True:
+            gevent.sleep(LOOK_S)
+            try:
+                self.look()
+            except Exception as fault:  # noqa: BLE001 - a watch that ended would leave a change unwatched for ever
+                self._abandon(f"the watch failed: {type(fault).__name__}: {fault}")
+
+    def stop(self) -> None:
+        """What is not kept by now is not kept: as after a crash, though told at once."""
+        with self.lock:
+            self.stopped = True
+            if self.change is not None:
+                self._undo("the gateway was told to stop")
+
+    # Requests.
+    def check(self, raw: Any) -> Document:
+        """Raises Unusable with every fault. Read and checked in the background, as it may be long."""
+        return self._job("check", self._checking(raw))
+
+    def _checking(self, raw: Any) -> Generator[None, None, Document]:
+        document = yield from reading(raw)
+        faults = yield from checking(document, self.facts())
+        if faults:
+            raise Unusable(faults)
+        return document
+
+    def stage(self, request: Request) -> Change:
+        """Raises Unusable or Refused; a change that is known is given back as it stands."""
+        _sane(request)
+        document = self.check(request.document)
+        with self.lock:
+            known = self.ledger.change(request.id)
+            if known is not None:
+                return self._same(known, document)
+            if self.stopped:
+                raise Refused("stopping", "the gateway is stopping; ask the next one")
+            number = self.ledger.last_generation() + 1
+            wanted = Change(request.id, request.base, number, request.who, request.why, "staged",
+                            document.change, self.clock())
+            change = states.stage(wanted, self.router.present.generation, self.change)
+            table = Table(change.generation, document, self.facade.groups)
+            self._job("compile", self.router.compile(table))
+            self._write(self.ledger.staged, change, document)
+            self.change, self.table = change, table
+            self._tell(change)
+            return change
+
+    def _same(self, known: Change, document: Document) -> Change:
+        if known.generation in self.ledger.generations():
+            kept = canonical(self.ledger.document(known.generation))
+            if digest(kept) != digest(canonical(document)):
+                raise Refused("reused", f"change {known.id!r} is another document; "
+                                        "give this one an id of its own")
+        return known
+
+    def apply(self, identity: str) -> Change:
+        """Begins the trial; the answer is the change in its first step. One that has begun is given back."""
+        with self.lock:
+            if self.change is None or self.change.id != identity:
+                return self._known(identity)
+            if self.change.state != "staged":
+                return self.change
+            table, present = self.table, self.router.present
+            before = self._job("before", self.lately.before(
+                lambda told: touches(present, table, told), self.clock()))
+            begun = states.begin(self.change, self.clock())
+            self._write(self.ledger.moved, begun)
+            self._begin(begun, before)
+            return begun
+
+    def undo(self, identity: str, who: str, why: str) -> Change:
+        """At once. One that has been undone, by whomever, is given back; one that was kept is refused."""
+        with self.lock:
+            if self.change is not None and self.change.id == identity:
+                return self._undo(f"undone by {who[:LONGEST_TEXT]}: {why[:LONGEST_TEXT]}")
+            known = self._known(identity)
+            if known.state == "kept":
+                raise Refused("kept", f"change {identity!r} is kept; stage the generation before it, "
+                                      f"{known.base}, as a change of its own")
+            return known
+
+    def _known(self, identity: str) -> Change:
+        known = self.ledger.change(identity)
+        if known is None:
+            raise Refused("unknown", f"no change {identity!r}; see `change history`")
+        return known
+
+    def history(self, most: int) -> list[Change]:
+        with self.lock:
+            return gevent.get_hub().threadpool.apply(self.ledger.history, (most,))
+
+    def status(self) -> dict[str, Any]:
+        trial = self.change is not None and self.change.state in ("canary", "watched")
+        findings = self.guard.findings() if trial and self.guard else []
+        return {"generation": self.router.present.generation,
+                "change": None if self.change is None else shown(self.change),
+                "share": self.router.share if trial else 0.0,
+                "due_us": self._due_us() if trial else 0,
+                "findings": [finding._asdict() | {"harm": finding.harm} for finding in findings],
+                "unjudged": self.guard.unjudged() if trial and self.guard else [],
+                "pools": {name: {"engines": len(pool.members), "ready": len(pool.ready)}
+                          for name, pool in self.router.present.pools.items()}}
+
+    def _due_us(self) -> int:
+        change = self.change
+        span = change.policy.canary[change.step].hold if change.state == "canary" else change.policy.watch
+        return max(0, change.since_us + span - self.clock())
+
+    # The watch.
+    def ended(self, batch: Batch, end: End) -> None:
+        """How a batch ended, told by the facade; batches that were withdrawn count too."""
+        now, told = self.clock(), batch.told
+        ended = _ended(batch, end, now, self.facade.groups[batch.group])
+        self.lately.add(now, told, ended)
+        if self.guard is None or batch.taken_us < self.began_us:
+            return
+        kind = touches(self.router.present, self.table, told)
+        served = batch.course.generation == self.change.generation
+        self.guard.add(now - self.began_us, (TOUCHED if served else BESIDE) if kind else LEFT, ended)
+
+    def look(self) -> None:
+        """One look of the watch: what the guard sees, and what becomes of the change by it."""
+        with self.lock:
+            change = self.change
+            if change is None or self.guard is None:
+                return
+            judged = states.judge(change, self.clock(), self._sight())
+            if judged is change:
+                return
+            if judged.state == "undone":
+                self._undo(judged.reason, judged.figures)
+                return
+            try:
+                self._write(self.ledger.moved, judged)
+            except Unwritten as fault:
+                self._undo(f"the ledger cannot be written: {fault}")
+                return
+            self._take(judged)
+
+    def _sight(self) -> Sight:
+        findings = self.guard.findings()
+        worst = max((each for each in findings if each.harm), key=Finding.weight, default=None)
+        return Sight(None if worst is None else str(worst), tuple(self.guard.unjudged()),
+                     tuple(map(str, findings)))
+
+    # Steps take effect; no other place changes the tables.
+    def _begin(self, change: Change, before: Before) -> None:
+        self.guard, self.began_us = Guard(before, change.policy), self.clock()
+        self._take(change)
+
+    def _take(self, change: Change) -> None:
+        self.change = change
+        if change.state == "kept":
+            self.router.settle(self.table)
+            self._over()
+        else:
+            self.router.try_out(self.table, change.share, change.id)
+        self._tell(change)
+
+    def _undo(self, reason: str, figures: tuple[str, ...] = ()) -> Change:
+        asked = self.clock()
+        if not figures and self.guard is not None:
+            figures = tuple(map(str, self.guard.findings()))
+        undone = states.undo(self.change, asked, reason, figures)
+        try:
+            with gevent.Timeout(DISK_S, Unwritten("the disk takes too long")):
+                self._write(self.ledger.moved, undone)
+        except Unwritten as fault:
+            self.log(f"change {undone.id} code=undo_unwritten fault={fault}")
+        # One turn of the loop: no round and no batch between the tables and what goes back to them.
+        self.router.settle(self.router.present)
+        moved = self.facade.take_back(undone.generation)
+        self._over()
+        self.undo_us = self.clock() - asked
+        self.log(f"change {undone.id} code=taken_back batches={moved} us={self.undo_us}")
+        self._tell(undone)
+        return undone
+
+    def _abandon(self, reason: str) -> None:
+        self.log(f"change code=watch_failed reason={reason}")
+        with self.lock:
+            if self.change is not None:
+                self._undo(reason)
+
+    def _over(self) -> None:
+        self.change = self.table = self.guard = None
+
+    # The disk in a thread of its own, long work in the background.
+    def _write(self, write: Callable[..., None], *values: Any) -> None:
+        gevent.get_hub().threadpool.apply(write, values)
+
+    def _job(self, name: str, steps: Generator[None, None, Any]) -> Any:
+        return self.scheduler.submit(name, steps, URGENT).result.get()
+
+    def _tell(self, change: Change) -> None:
+        self.log(f"change {change.id} code={change.state} generation={change.generation} "
+                 f"share={change.share:g}" + (f" reason={change.reason}" if change.reason else ""))
+
+
+def shown(change: Change) -> dict[str, Any]:
+    """A change as answers and tables show it."""
+    return {"id": change.id, "state": change.state, "generation": change.generation, "base": change.base,
+            "who": change.who, "why": change.why, "staged_us": change.staged_us, "since_us": change.since_us,
+            "step": change.step, "share": change.share, "reason": change.reason,
+            "figures": list(change.figures)}
+
+
+def _sane(request: Request) -> None:
+    for name in ("id", "who", "why"):
+        value = getattr(request, name)
+        if type(value) is not str or not value.strip() or len(value) > LONGEST_TEXT:
+            raise Refused("usage", f"{name} is missing or too long; a change names its id, who and why")
+    if type(request.base) is not int:
+        raise Refused("usage", "base is missing; name the generation that the change is based on")
+
+
+def _ended(batch: Batch, end: End, now: int, group: names.ServiceGroup) -> Ended:
+    took, how = now - batch.taken_us, end.how or "given_up"
+    late = how != names.RETURNED or took > batch.goal_us
+    worth = 0.0 if how != names.RETURNED else group.late_utility if late else 1.0
+    return Ended(batch.group, how, late, took, min(1.0, worth))
--- a/pathturn/cli.py
+++ b/pathturn/cli/serve.py
@@ -1,34 +1,31 @@
-"""The command line."""
+"""The gateway itself, and what looks at its configuration."""
 
 import signal
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 from typing import Annotated, Any
 
 import orjson
 import typer
 
+from pathturn.cli.common import plain_faults
 from pathturn.process.limits import shares
 from pathturn.process.settings import build
 from pathturn.wire import directory
 from pathturn.wire.statement import data_set
 
-VERSION = "0.2.0"
-app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
+VERSION = "0.3.0"
 StatementFile = Annotated[typer.FileText, typer.Argument(help="a file, or - for standard input")]
 ConfigFile = Annotated[Path | None, typer.Argument(envvar="EDGE_CONFIG", help="the configuration file",
-                                            show_default=False)]
+                                                   show_default=False)]
+OperatorFile = Annotated[Path | None, typer.Option("--operator", envvar="PATHTURN_OPERATOR", metavar="FILE",
+                                                   help="routes, changes, control socket")]
 
 
-@contextmanager
-def plain_faults() -> Iterator[None]:
-    """One line for whoever starts it, in place of a trace, for what is wrong with the configuration."""
-    try:
-        yield
-    except (OSError, KeyError, TypeError, ValueError, AttributeError) as fault:
-        typer.echo(f"pathturn: the configuration cannot be used: {type(fault).__name__}: {fault}", err=True)
-        raise typer.Exit(2) from None
+def register(app: typer.Typer) -> None:
+    app.command()(serve)
+    app.command()(check)
+    app.command("data-set")(data_set_of)
+    app.command()(version)
 
 
 def _read(config: Path | None) -> dict[str, Any]:
@@ -37,15 +34,14 @@
     return orjson.loads(config.read_bytes())
 
 
-@app.command()
-def serve(config: ConfigFile = None) -> None:
+def serve(config: ConfigFile = None, operator: OperatorFile = None) -> None:
     """Run one gateway in the foreground until SIGTERM; SIGHUP has it read its configuration again."""
     import gevent  # here, since only this command needs the event loop
 
     from pathturn.process.gateway import GatewayProcess
 
     with plain_faults():
-        gateway = GatewayProcess(_read(config))
+        gateway = GatewayProcess(_read(config), _installation(operator))
         # Before the first connection: without a handler of its own either signal ends the process at once.
         gevent.signal_handler(signal.SIGTERM, gateway.asked_to_stop.set)
         gevent.signal_handler(signal.SIGHUP, gateway.reload, lambda: _read(config))
@@ -53,7 +49,14 @@
     gateway.run()
 
 
-@app.command()
+def _installation(operator: Path | None) -> Any:
+    if operator is None:
+        return None
+    from pathturn.config.installation import installation
+
+    return installation(operator)
+
+
 def check(config: ConfigFile = None) -> None:
     """Read a configuration and print what a gateway would start with."""
     with plain_faults():
@@ -68,13 +71,11 @@
         typer.echo(f"engine {identity} at {host}:{port}, {zone}, {machine}")
 
 
-@app.command("data-set")
 def data_set_of(statement: StatementFile) -> None:
     """Print the data set that a statement touches, as a gateway reads it; 0 if it names none."""
     typer.echo(data_set(statement.read()))
 
 
-@app.command()
 def version() -> None:
     """Print the version."""
     typer.echo(f"pathturn {VERSION}")
--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -4,7 +4,7 @@
 """
 
 import heapq
-from collections import deque, namedtuple
+from collections import defaultdict, deque, namedtuple
 from itertools import count
 from math import exp, inf
 from zlib import crc32
@@ -80,6 +80,7 @@
         self.goal = now + self.group.goal_us + int(self.group.goal_stretch * self.solo)
         self.sends, self.kills, self.tried, self.over, self.small, self.out = 0, 0, set(), False, False, {}
         self.ran_since, self.ran_at, self.key, self.data_set, self.spilt = None, None, None, None, False
+        self.course, self.pool = None, None
 
     def may_resend(self, now: int) -> bool:
         return self.ran_since is None or self.group.kind == names.REPEATABLE or (
@@ -94,7 +95,8 @@
         """Placement, and for a referenced batch that may have run the engines that drop its repeat."""
         group, first = self.group, self.ran_at
         if ((group.zones is not None and engine.zone not in group.zones)
-                or (group.machines is not None and engine.machine not in group.machines)):
+                or (group.machines is not None and engine.machine not in group.machines)
+                or (self.course is not None and not self.course.reaches(engine.index))):
             return False
         anywhere = first is None or group.kind == names.REPEATABLE or group.repeat_scope == "all"
         return anywhere or (
@@ -239,7 +241,7 @@
         self.budget = Budget(*(budget or (inf, 0.0, PERIOD_US)))
         self.cold = ColdGuard(*cold, self.gateways, instance, min(each.usual for each in self.learned))
         self.keys, self.ask_at = KeyLines(key_rest_us), 0 if ask_list else inf
-        self.engines, self.batches, self.ready, self.later, self.wake_at = {}, {}, [], [], 0
+        self.engines, self.batches, self.ready, self.later, self.wake_at = {}, {}, {}, [], 0
         self.mean_work = sum(each.usual for each in self.learned) / len(self.learned)
         # Over the whole fleet: for all batches, and for small ones by themselves.
         self.fleet, self.threads, self.engine_threads = (), [0, 0], 1.0
@@ -285,7 +287,7 @@
 
     def _sleep(self) -> None:
         """Asks for the next round only where one is needed: most gateways have little traffic."""
-        poll = self.now + TICK_US * (1 if self.ready else 4 if any(self.threads) else inf)
+        poll = self.now + TICK_US * (1 if any(self.ready.values()) else 4 if any(self.threads) else inf)
         due = min(self.later[0][0] if self.later else inf, self.ask_at, poll)
         if due < inf and not self.now < self.wake_at <= due:
             self.wake_at = max(due, self.now + self.step_us)
@@ -317,7 +319,8 @@
         for window, least in zip(self.fleet, (fair, 0.3 * fair)):
             window.narrowest, window.widest = least, WIDEST * len(live)
 
-    def batch(self, index, group, customer, key, left_us, work_us, memory_mb, data_set, repeat) -> None:
+    def batch(self, index, group, customer, key, left_us, work_us, memory_mb, data_set, repeat,
+              course=None) -> None:
         learned = self.learned[group]
         if work_us:
             learned.usual += (work_us * learned.bias - learned.usual) / min(learned.seen + 5, 200)
@@ -330,7 +333,25 @@
             self.keys.lines.setdefault(key, deque()).append(batch)
         for due in (min(batch.last, int(batch.goal - 0.5 * batch.solo) + 1), batch.last):
             heapq.heappush(self.later, (due, next(self.counter), batch))
-        self._review(batch)
+        if course is None or (pause := course.pause(self.now)) is None:
+            self._follow(batch, course, True)
+            self._review(batch)
+        else:  # over the operator's limit: told at once, since waiting would only hold others up
+            self._give_up(batch, pause)
+
+    def moved(self, index, course) -> None:
+        """After an undo: what has been sent nowhere goes by the old course, and what has stays as it
+        began."""
+        if (batch := self.batches.get(index)) is not None and not batch.sends and not batch.over:
+            self._follow(batch, course, False)
+            self._review(batch)
+
+    def _follow(self, batch: Batch, course: names.Course | None, new: bool) -> None:
+        if batch.course is not None:
+            batch.course.left()
+        batch.course, batch.pool = course, course.pool if course else None
+        if course is not None:
+            course.took(self.now, new)
 
     def answer(self, index, number, engine, outcome, latency, complete, work_us, memory_mb, report) -> None:
         batch, engine = self.batches[index], self.engines[engine]
@@ -338,6 +359,8 @@
         del engine.out[index, number]
         engine.threads -= batch.group.threads
         self.threads[batch.small] -= batch.group.threads
+        if batch.course is not None:
+            batch.course.back()
         if batch.group.holds_set:
             engine.held_sets.discard(batch.data_set)
         self._report(engine, report)
@@ -432,7 +455,9 @@
     def _solve(self) -> None:
         live, self.solved_at = self._live(), self.now
         self.keys.resting = {key: until for key, until in self.keys.resting.items() if until > self.now}
-        self.ready = sorted(entry for entry in self.ready if not (entry[2].over or entry[2].out))
+        lines = {pool: sorted(entry for entry in line if not (entry[2].over or entry[2].out))
+                 for pool, line in self.ready.items()}
+        self.ready = {pool: line for pool, line in lines.items() if line}
         for engine in live if self.load_field is None else ():
             engine.hear_load(self.now, len(engine.out) / engine.cores)
         # Probes are priced by the batch: a gateway with little traffic asks little, each engine in turn.
@@ -454,7 +479,8 @@
         late = self.now + batch.solo > batch.goal
         worth = (batch.group.late_utility if late else 1.0) * batch.group.utility / batch.work
         if (opens := self.keys.open_at(batch)) is not None:
-            queue, rank = (self.later, opens) if opens > self.now else (self.ready, -worth)
+            held = self.ready.setdefault(batch.pool, [])
+            queue, rank = (self.later, opens) if opens > self.now else (held, -worth)
             heapq.heappush(queue, (rank, next(self.counter), batch))
 
     def _hopeless(self, batch: Batch) -> bool:
@@ -469,9 +495,10 @@
         if not batch.over and (not batch.out or (batch.key is not None and self.now >= batch.last)):
             (self._give_up if self._hopeless(batch) else self._hold)(batch)
 
-    def _give_up(self, batch: Batch) -> None:
+    def _give_up(self, batch: Batch, pause: int = 0) -> None:
         if batch.harmless():
-            self.out.push_back(batch.index, int(self.retry_us * (0.5 + 0.5 * self.chance(batch.index))))
+            usual = int(self.retry_us * (0.5 + 0.5 * self.chance(batch.index)))
+            self.out.push_back(batch.index, min(pause, self.retry_us) or usual)
         else:
             self.out.error(batch.index)
         self._close(batch)
@@ -485,6 +512,8 @@
     def _forget(self, batch: Batch) -> None:
         if batch.out or self.batches.pop(batch.index, None) is None:
             return
+        if batch.course is not None:
+            batch.course.left()
         if batch.key is not None and (following := self.keys.leave(batch)):
             self._review(following)
 
@@ -495,6 +524,7 @@
                 and batch.sends < self.max_dispatches and batch.may_resend(self.now) and batch.allowed(engine)
                 and opens is not None and opens <= self.now
                 and (not batch.sends or self.budget.allows(self.now))
+                and (batch.course is None or batch.course.fits(self.now, batch.sends > 0))
                 and self.cold.allows(self.now, engine, max(batch.learned.usual, batch.work)))
 
     def _room(self, batch: Batch, engine: Engine) -> bool:
@@ -513,25 +543,30 @@
                    - 100 * (each.index in batch.tried))
 
     def _pump(self) -> None:
-        passed = []
-        while self.ready and len(passed) < SKIPS:
-            entry = _, _, batch = heapq.heappop(self.ready)
-            if batch.over or batch.out:
+        """Best first over all pools; one with nowhere to go must not use up the others' looks."""
+        passed = defaultdict(list)
+        while lines := [pool for pool, line in self.ready.items() if line and len(passed[pool]) < SKIPS]:
+            pool = min(lines, key=lambda each: self.ready[each][0]) if len(lines) > 1 else lines[0]
+            entry = _, _, batch = heapq.heappop(self.ready[pool])
+            if batch.over or batch.out or batch.pool is not pool:
                 continue
             if self._hopeless(batch):
                 self._give_up(batch)
             elif engine := self._choose(batch):
                 self._send(batch, engine)
             else:
-                passed.append(entry)
-        for entry in passed:
-            heapq.heappush(self.ready, entry)
+                passed[pool].append(entry)
+        for pool, entries in passed.items():
+            for entry in entries:
+                heapq.heappush(self.ready[pool], entry)
 
     def _send(self, batch: Batch, engine: Engine) -> None:
         batch.out[batch.sends] = engine.out[batch.index, batch.sends] = Dispatch(batch, self.now, engine.load)
         engine.threads += batch.group.threads
         self.threads[batch.small] += batch.group.threads
         self.budget.spent.add(self.now, batch.sends > 0)
+        if batch.course is not None:
+            batch.course.sent(self.now, batch.sends > 0)
         if engine.sent:
             engine.sent.add(self.now, max(batch.learned.usual, batch.work))
         batch.sends += 1
--- a/pathturn/core/interface.py
+++ b/pathturn/core/interface.py
@@ -40,6 +40,17 @@
     waits_for_set: bool = False
 
 
+class Seat(NamedTuple):
+    """An engine as the list tells of it."""
+
+    index: int
+    identity: str
+    zone: str
+    machine: str
+    cell: int
+    state: int
+
+
 class Writer(Protocol):
     """Takes decisions during a round, in the order in which they are to be carried out.
 
@@ -58,11 +69,28 @@
     def log(self, text: str) -> None: ...
 
 
+class Course(Protocol):
+    """What the operator's document lets one batch use; shared by all batches of the same treatment. Batches
+    whose `pool` is the same object reach the same engines."""
+
+    pool: object
+
+    def reaches(self, engine: int) -> bool: ...
+    def pause(self, now_us: int) -> int | None: ...
+    def took(self, now_us: int, counts: bool = True) -> None: ...
+    def left(self) -> None: ...
+    def fits(self, now_us: int, further: bool) -> bool: ...
+    def sent(self, now_us: int, further: bool) -> None: ...
+    def back(self) -> None: ...
+
+
 class Decider(Protocol):
     """One gateway's decisions. Events are (name, *fields) in the order of arrival:
 
     listing(form, entries): entries of (engine, zone, machine, cell, state, size, started_us)
-    batch(batch, group, customer, key, left_us, work_us, memory_mb, data_set, repeat); work 0 = no estimate
+    batch(batch, group, customer, key, left_us, work_us, memory_mb, data_set, repeat, course); work 0 = no
+        estimate; course None, or left out = the whole fleet without further limits
+    moved(batch, course): held so far and sent nowhere, it goes by another course from now on
     answer(batch, dispatch, engine, outcome, latency_us, complete, work_us, memory_mb, report)
     note(batch, engine, sort, level, dispatch); probed(engine, well, latency_us, report)
     withdrawn(batch); wake(tag); stop(): the process ends once what is out is over
--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -21,7 +21,7 @@
     """What the gateway itself needs of an open batch; what decides on it lies in the module."""
 
     __slots__ = ("index", "ticket", "group", "nonce", "keyed", "statement", "until_us", "steps", "over",
-                 "sent", "out", "priority", "grant_mb")
+                 "sent", "out", "priority", "grant_mb", "told", "course", "taken_us", "goal_us", "watch")
 
     def __init__(self, index: int, ticket: str, group: str, nonce: str | None, keyed: bool, statement: bytes,
                  until_us: int) -> None:
@@ -30,11 +30,16 @@
         self.steps: SimpleQueue = SimpleQueue()
         self.over, self.sent, self.priority, self.grant_mb = False, 0, 1, 0.0
         self.out: dict[int, Dispatch] = {}
+        # Under an operator's document: what routes tell it by, its course, and who counts how it ends.
+        self.told = self.course = self.watch = None
+        self.taken_us = self.goal_us = 0
 
     def end(self, end: End) -> None:
         if not self.over:
             self.over = True
             self.steps.put(end)
+            if self.watch is not None:
+                self.watch(self, end)
 
 
 class Dispatch:
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Callable
 from math import inf
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from gevent.event import Event
 from gevent.queue import Empty
@@ -14,12 +14,19 @@
 from pathturn.memory.batches import Batch, Dispatch, End, OpenBatches
 from pathturn.memory.roster import Roster
 
+if TYPE_CHECKING:  # imported when enabled only: plain serve has no routes
+    from pathturn.routing.router import Router, Traits
+
 # The module ends a batch before its time; the protocol leaves 50 ms after it.
 OVERDUE_US = 20_000
 # By the protocol batches of one key are written no less than 60 ms apart.
 STANDSTILL_US = 50_000
 
 
+def _goal_us(group: names.ServiceGroup, work_us: int) -> int:
+    return group.goal_us + int(group.goal_stretch * work_us / group.threads)
+
+
 class Facade:
     def __init__(self, decider: names.Decider, groups: dict[str, names.ServiceGroup],
                  clock: Callable[[], int], tells_cost: bool, log: Callable[[str], None]) -> None:
@@ -32,6 +39,9 @@
         self.beat_us, self.stood_us = clock(), 0
         self.came, self.wake_at = Event(), inf
         self.follows_list = Event()
+        self.router: Router | None = None
+        self.traits: Callable[..., Traits] | None = None
+        self.watch: Callable[[Batch, End], None] | None = None
 
     def _tell(self, *event: Any) -> None:
         self.events.append(event)
@@ -49,8 +59,12 @@
              repeat: bool, statement: bytes) -> Batch:
         until_us = self.clock() + left_us
         batch = self.batches.open(ticket, group, nonce, key is not None, statement, until_us)
+        if self.router is not None:
+            batch.told = self.traits(group, customer, key, data_set, ticket)
+            batch.course, batch.taken_us = self.router.course(batch.told), self.clock()
+            batch.goal_us, batch.watch = _goal_us(self.groups[group], work_us), self.watch
         self._tell("batch", batch.index, self.group_index[group], customer, key, left_us, work_us, memory_mb,
-                   data_set, repeat)
+                   data_set, repeat, batch.course)
         # The event loop reads first what became readable last: over a standstill batches of one key that came
         # on two connections change places, and nothing tells when each came.
         if key is not None and self.first_of.setdefault(key, source) is not source and self._stood():
@@ -74,6 +88,24 @@
             batch.end(End(None))
             self.batches.settle(batch)
 
+    # For the operator's side.
+    def follow(self, router: "Router", traits: Callable[..., "Traits"],
+               watch: Callable[[Batch, End], None]) -> None:
+        """From now on batches go by the router's tables, and `watch` hears how each one ended."""
+        self.router, self.traits, self.watch = router, traits, watch
+        router.listing(self.roster.seats)
+
+    def take_back(self, generation: int) -> int:
+        """What was taken under that generation and has been sent nowhere goes by the present one. In the same
+        turn as the change of tables, so that no round lies between."""
+        moved = [batch for batch in self.batches.by_index.values()
+                 if batch.course is not None and batch.course.generation == generation
+                 and not batch.sent and not batch.over]
+        for batch in moved:
+            batch.course = self.router.course(batch.told)
+            self._tell("moved", batch.index, batch.course)
+        return len(moved)
+
     # For the engines' side.
     def stands(self, dispatch: Dispatch) -> bool:
         """Whether a dispatch that waited for a connection may still begin: drains and aborts come too."""
@@ -98,7 +130,10 @@
     # For the list's side.
     def listing(self, form: int, told: list[tuple]) -> None:
         """The whole list, or that it could not be had."""
-        self._tell("listing", form, [] if form == names.FAILED else self.roster.rows(told))
+        rows = [] if form == names.FAILED else self.roster.rows(told)
+        if self.router is not None and form != names.FAILED:
+            self.router.listing(self.roster.seats)
+        self._tell("listing", form, rows)
 
     # For whoever starts and stops it, and runs the rounds.
     def stop(self) -> None:
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -3,7 +3,7 @@
 import gc
 import traceback
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent import socket
@@ -26,6 +26,10 @@
 from pathturn.wire.line import Line
 from pathturn.wire.lookup import Lookup
 
+if TYPE_CHECKING:
+    from pathturn.config.installation import Installation
+    from pathturn.process.operator import Operator
+
 PRUNE_S = 0.25
 BEAT_S = 0.01  # often enough to tell a standstill from a busy moment, and not felt in the CPU
 # The protocol's figure: batches still come in for this long after SIGTERM.
@@ -33,8 +37,9 @@
 
 
 class GatewayProcess:
-    def __init__(self, told: dict[str, Any]) -> None:
-        settings, self.clock, self.log = told["settings"], unix_clock(), Log(told["name"])
+    def __init__(self, told: dict[str, Any], installation: "Installation | None" = None) -> None:
+        settings, self.clock = told["settings"], unix_clock()
+        self.log = Log(told["name"], installation.log if installation else "plain")
         limits = settings.get("limits") or {}
         decider, groups = build(int(told["seed"], 16), settings)
         self.step_s = (settings.get("stepUs") or 1000) / 1e6
@@ -55,12 +60,19 @@
         self.names = directory.address(told["names"])
         self.lookup = Lookup(self.facade, settings.get("discovery") == "ask", serial,
                              lambda: self.pools.keep_only(self.facade.roster.places))
+        self.operator: Operator | None = None
+        if installation is not None:
+            from pathturn.process import operator  # what is not enabled is not imported
+
+            self.operator = operator.Operator(installation, self.facade, settings, clients, self.clock,
+                                              self.log)
         self.server = StreamServer(directory.address(told["listen"]), self._client, backlog=1024)
 
     def run(self) -> None:
         """Serves, once its server has been started, until a stop is asked for and nothing taken is open."""
         self.lookup.follow(self.names)
-        for part in (self._rounds, self._beat, self._prune):
+        for part in (self._rounds, self._beat, self._prune,
+                     *(self.operator.parts() if self.operator is not None else ())):
             self.parts.spawn(part)
         # What is there by now stays: the collector's longest passes need not go over it again and again.
         gc.freeze()
@@ -117,6 +129,8 @@
     def _finish(self) -> None:
         """Goes on serving until no batch is open: whatever was taken is owed an answer."""
         self.log("stopping")
+        if self.operator is not None:
+            self.operator.stop()
         gevent.sleep(STILL_COMING_S)
         self.server.close()
         self.facade.stop()
@@ -124,4 +138,6 @@
             gevent.sleep(self.step_s)
         # The last answers may still be on their way out of their greenlets.
         gevent.sleep(self.step_s)
+        if self.operator is not None:
+            self.operator.close()
         self.log("stopped")
--- /dev/null
+++ b/pathturn/standins/engines.py
@@ -0,0 +1,151 @@
+"""Stand-in engines: they speak the engines' protocol as scripted, on loopback, and remember what they were
+asked."""
+
+import struct
+from collections import deque
+from collections.abc import Iterable
+from time import monotonic
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+MOST_ASKED = 100_000
+RUN = frozenset({"rows", "runs", "notes", "reset", "drop", "lost"})  # words by which a batch has its effect
+GOOD = (b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\nX-Cost-Ms: 5\r\nX-Needed-Mb: 1\r\nContent-Length: 6\r\n\r\n"
+        b"a\tb\t0\n")
+# What a peer may send in place of a good answer; with a None behind it the connection stays open.
+SPOILT = {
+    "noise": (bytes(range(128, 180)) + b"\r\n\r\n",), "cut": (GOOD[:-3],), "closed": (b"",), "mute": (None,),
+    "short": (GOOD.replace(b"th: 6", b"th: 60"), None), "long": (GOOD.replace(b"th: 6", b"th: 5"), None),
+    "minus": (GOOD.replace(b"th: 6", b"th: -1"), None), "page": (GOOD.replace(b"X-Pages", b"X-Page"), None),
+    "huge": (GOOD.replace(b"th: 6", b"th: 3000000000"), *[bytes(60_000)] * 20, None),
+    "endless": (b"HTTP/1.1 200 OK\r\nX-Pages: ", *[b"1" * 60_000] * 20, None),
+    "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n", None),
+    "unbounded": (b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\n\r\na\tb\t", *[b"c" * 60_000] * 20, None),
+    "colon": (GOOD.replace(b"X-Cost-Ms:", b"no colon"), None),
+    "pages": (GOOD.replace(b"ges: 1", b"ges: nan"),),
+    "columns": (GOOD.replace(b"\tb\t", b"\tb "), None), "text": (GOOD.replace(b"\tb\t", b"\t\xff\t"), None),
+}
+# What a good answer may bring beside itself.
+MORE = {
+    "early": (b"HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Wait\r\n\r\n" + GOOD, None),
+    "twice": (GOOD + GOOD, None), "behind": (GOOD + b"\x00\xa7 noise", None),
+    "figures": (GOOD.replace(b"Ms: 5", b"Ms: 1e999").replace(b"Mb: 1", b"Mb: nan\r\nX-Meter: depth:inf;"
+                                                             b"concurrent:-1e300"), None),
+}
+
+
+class StandInEngine:
+    """Speaks the engines' protocol as scripted: a word for each query, the last one for all others."""
+
+    def __init__(self, words: Iterable[str]) -> None:
+        self.words, self.queries = list(words) or ["rows:1"], {}
+        # Bounded: the longest stand-in traffic must not fill the memory of whoever measures it.
+        self.asked: deque[tuple] = deque(maxlen=MOST_ASKED)
+        self.begun: list[tuple[float, str]] = []  # when, and the nonce, of each batch that began to run
+        self.torn_deletes = 0
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+
+    def serve(self, link: socket.socket, peer: Any) -> None:
+        while not link.closed:
+            verb, path, fields, body = read_request(link)
+            if not verb:
+                return
+            self.asked.append((verb, path, fields, body))
+            if verb == "POST":
+                ticket, word = fields["x-ticket"], self.words.pop(0) if len(self.words) > 1 else self.words[0]
+                if fields.get("x-nonce") and word.partition(":")[0] in RUN:
+                    self.begun.append((monotonic(), fields["x-nonce"]))
+                self.queries[ticket] = (word, monotonic())
+                if word in ("reset", "drop"):
+                    if word == "reset":
+                        del self.queries[ticket]
+                        link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    link.close()
+                    return
+                self.news(link, ticket)
+            elif verb == "GET":
+                self.page(link, *path.split("/")[2:])
+            elif verb == "DELETE" and self.torn_deletes:
+                self.torn_deletes -= 1
+                link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                link.close()
+            elif self.queries.get(path.split("/")[2], ("",))[0] != "mute":
+                self.queries.pop(path.split("/")[2], None)
+                self.answer(link, 204)
+
+    def posts(self) -> list[tuple]:
+        return [each for each in self.asked if each[0] == "POST"]
+
+    def news(self, link: socket.socket, ticket: str) -> None:
+        word, since = self.queries.get(ticket, ("error", 0))
+        kind, _, value = word.partition(":")
+        if kind == "sends":
+            self.queries[ticket] = ("rows:1", since)
+            return self.send(link, {**SPOILT, **MORE}[value])
+        if kind in ("hang", "mute"):
+            gevent.sleep(30)
+        elif kind in ("runs", "notes"):
+            gevent.sleep(0.05)
+            if (monotonic() - since) * 1000 < int(value):
+                note = [("X-Remark", "done"), ("X-Value", "0.01")] if kind == "notes" else []
+                return self.answer(link, 202, note)
+            kind, value = "rows", "1"
+        elif kind == "drop":
+            kind, value = "rows", "1"
+        if kind == "odd":
+            return self.answer(link, 200, [("X-Pages", "nan")])
+        if kind in ("rows", "lost", "torn"):
+            told = [("X-Pages", value or 2), ("X-Cost-Ms", 5), ("X-Needed-Mb", 1),
+                    ("X-Meter", "depth:0;concurrent:2")]
+            return self.answer(link, 200, told, b"a\tb\t0\n")
+        status = {"full": 503, "over": 504}.get(kind, 500)
+        return self.answer(link, status, [("X-Shed", 1)] if status != 500 else [])
+
+    def page(self, link: socket.socket, ticket: str, number: str) -> None:
+        if number == "0":
+            return self.news(link, ticket)
+        word = self.queries[ticket][0]
+        if word == "lost":
+            return self.answer(link, 500)
+        if word.startswith("torn:"):
+            self.queries[ticket] = (f"rows:{word[5:]}", 0)
+            return self.send(link, SPOILT["short"])
+        return self.answer(link, 200, [("X-Page", number)], f"a\tb\t{number}\n".encode())
+
+    def send(self, link: socket.socket, pieces: Iterable[bytes | None]) -> None:
+        try:
+            for piece in pieces:
+                if piece is None:
+                    return
+                link.sendall(piece)
+        except OSError:
+            self.refused = True
+        link.close()
+
+    def answer(self, link: socket.socket, status: int, fields: Iterable[tuple[str, Any]] = (),
+               body: bytes = b"") -> None:
+        head = [f"HTTP/1.1 {status} said", *(f"{name}: {value}" for name, value in fields),
+                f"Content-Length: {len(body)}", "", ""]
+        link.sendall("\r\n".join(head).encode() + body)
+
+
+def read_request(link: socket.socket) -> tuple:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        try:
+            piece = link.recv(4096)
+        except OSError:
+            piece = b""
+        if not piece:
+            return None, None, None, None
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *rest = head.decode().split("\r\n")
+    fields = {name.lower(): value for name, value in (each.split(": ", 1) for each in rest)}
+    while len(body) < int(fields.get("content-length", 0)):
+        body += link.recv(4096)
+    return *first.split()[:2], fields, body
--- /dev/null
+++ b/pathturn/standins/farm.py
@@ -0,0 +1,88 @@
+"""A stand-in farm: engines, their directory by DNS, and the configuration of a gateway that serves before
+them."""
+
+from typing import Any
+
+from dnslib import QTYPE, RR, SOA, SRV, TXT, A, DNSRecord
+from gevent import socket
+from gevent.server import DatagramServer, StreamServer
+
+from pathturn.standins.engines import StandInEngine
+from pathturn.wire import directory
+
+SECOND = 1_000_000
+# (effect, time limit in ms, more settings): what the wire calls repeatable, once-only and referenced batches.
+GROUPS = {"look": ("retryable", 1500, {}), "pay": ("fragile", 1500, {}),
+          "load": ("dedup", 5000, {"group": "all", "memorySpanUs": 10 * SECOND, "inTurn": True})}
+
+
+def at(server: StreamServer | DatagramServer) -> str:
+    host, port = server.address
+    return f"{host}:{port}"
+
+
+def spare_address() -> tuple[str, int]:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()
+
+
+def settings() -> dict[str, Any]:
+    return {
+        "classes": [{"name": name, "promiseUs": 400_000, "deadlineUs": limit * 1000, "effect": effect,
+                     "worth": 1.0, "lateValue": 1.0, **more}
+                    for name, (effect, limit, more) in GROUPS.items()],
+        "limits": {"maxAttempts": 4, "cancel": True, "dialTimeoutUs": 150_000, "idleCloseUs": 15 * SECOND,
+                   "secondCopies": True, "retryAfter": True, "maxRetryAfterUs": 500_000},
+        "rules": {"keyQuietUs": 300_000}, "report": {"how": "answers", "fields": ["depth", "concurrent"]},
+        "domain": {"widthByClass": [1, 1, 1], "coresByKind": [8], "costInAnswers": True}, "kinds": ["m"],
+        "discovery": "push", "stepUs": 1000, "siblings": 1}
+
+
+class Farm:
+    """Engines come in by `engine`, change by `change`; `configuration` starts the directory."""
+
+    def __init__(self) -> None:
+        self.engines: dict[str, StandInEngine] = {}
+        self.states: dict[str, str] = {}
+        self.zones: dict[str, str] = {}
+        self.serial, self.silent, self.limit, self.settings = 1, False, 200, settings()
+        self.names: DatagramServer | None = None
+
+    def engine(self, name: str, *words: str, zone: str = "z") -> None:
+        self.engines[name], self.states[name] = StandInEngine(words), "in_service"
+        self.zones[name] = zone
+
+    def change(self, name: str, state: str) -> None:
+        self.states[name], self.serial = state, self.serial + 1
+
+    def configuration(self, listen: str) -> dict[str, Any]:
+        servers = [{"id": name, "addr": at(each.server), "zone": self.zones[name], "kind": "m", "cell": 0,
+                    "state": self.states[name], "weight": 1, "started_ms": 0}
+                   for name, each in self.engines.items()]
+        self.names = DatagramServer(("127.0.0.1", 0), self.directory)
+        self.names.start()
+        return {"name": "n0", "listen": listen, "seed": "0f", "settings": self.settings,
+                "limits": {"sockets": self.limit, "memory_mb": 192, "cores": 1.0},
+                "names": at(self.names),
+                "known": {"index": 1, "updates": [{"endpoints": {"full": True, "servers": servers}}]}}
+
+    def directory(self, packet: bytes, peer: tuple[str, int]) -> None:
+        if self.silent:
+            return
+        reply = DNSRecord.parse(packet).reply()
+        for name, engine in self.engines.items():
+            if self.states[name] != "gone":
+                host, port = engine.server.address
+                target = f"{name}.{self.zones[name]}.hosts"
+                draining = int(self.states[name] == "draining")
+                reply.add_answer(RR(directory.NAME, QTYPE.SRV, rdata=SRV(draining, 10, port, target)))
+                reply.add_ar(RR(target, QTYPE.A, rdata=A(host)))
+                reply.add_ar(RR(target, QTYPE.TXT, rdata=TXT(["kind=m", "cell=0", "started=0"])))
+        reply.add_auth(RR("farm.lan", QTYPE.SOA, rdata=SOA("ns.lan", "op.lan", (self.serial, 1, 1, 1, 1))))
+        self.names.sendto(reply.pack(), peer)
+
+    def stop(self) -> None:
+        for each in [*(engine.server for engine in self.engines.values()), self.names]:
+            if each is not None:
+                each.stop(0)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,6 @@
 """
 
 import contextlib
-import struct
 from base64 import b64decode, b64encode
 from pathlib import Path
 from time import monotonic
@@ -11,15 +10,13 @@
 import gevent
 import orjson
 import pytest
-from dnslib import QTYPE, RR, SOA, SRV, TXT, A, DNSRecord
 from gevent import socket
-from gevent.server import DatagramServer, StreamServer
 
 from pathturn.core import interface as names
 from pathturn.core.choice import Gateway
 from pathturn.process.gateway import GatewayProcess
 from pathturn.process.limits import shares
-from pathturn.wire import directory
+from pathturn.standins.farm import Farm, spare_address
 
 SECOND = 1_000_000
 KINDS = {"repeatable": names.REPEATABLE, "referenced": names.REFERENCED, "once": names.ONCE_ONLY}
@@ -160,162 +157,13 @@
         assert called == list(batches), f"cancelled {called}"
 
 
-GOOD = (b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\nX-Cost-Ms: 5\r\nX-Needed-Mb: 1\r\nContent-Length: 6\r\n\r\n"
-        b"a\tb\t0\n")
-# What a peer may send in place of a good answer; with a None behind it the connection stays open.
-SPOILT = {
-    "noise": (bytes(range(128, 180)) + b"\r\n\r\n",), "cut": (GOOD[:-3],), "closed": (b"",), "mute": (None,),
-    "short": (GOOD.replace(b"th: 6", b"th: 60"), None), "long": (GOOD.replace(b"th: 6", b"th: 5"), None),
-    "minus": (GOOD.replace(b"th: 6", b"th: -1"), None), "page": (GOOD.replace(b"X-Pages", b"X-Page"), None),
-    "huge": (GOOD.replace(b"th: 6", b"th: 3000000000"), *[bytes(60_000)] * 20, None),
-    "endless": (b"HTTP/1.1 200 OK\r\nX-Pages: ", *[b"1" * 60_000] * 20, None),
-    "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n", None),
-    "unbounded": (b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\n\r\na\tb\t", *[b"c" * 60_000] * 20, None),
-    "colon": (GOOD.replace(b"X-Cost-Ms:", b"no colon"), None),
-    "pages": (GOOD.replace(b"ges: 1", b"ges: nan"),),
-    "columns": (GOOD.replace(b"\tb\t", b"\tb "), None), "text": (GOOD.replace(b"\tb\t", b"\t\xff\t"), None),
-}
-# What a good answer may bring beside itself.
-MORE = {
-    "early": (b"HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Wait\r\n\r\n" + GOOD, None),
-    "twice": (GOOD + GOOD, None), "behind": (GOOD + b"\x00\xa7 noise", None),
-    "figures": (GOOD.replace(b"Ms: 5", b"Ms: 1e999").replace(b"Mb: 1", b"Mb: nan\r\nX-Meter: depth:inf;"
-                                                             b"concurrent:-1e300"), None),
-}
-
-
-class StandInEngine:
-    """Speaks the engines' protocol as scripted: a word for each query, the last one for all others."""
-
-    def __init__(self, words):
-        self.words, self.asked, self.queries = list(words) or ["rows:1"], [], {}
-        self.torn_deletes = 0
-        self.server = StreamServer(("127.0.0.1", 0), self.serve)
-        self.server.start()
-
-    def serve(self, link, peer):
-        while not link.closed:
-            verb, path, fields, body = read_request(link)
-            if not verb:
-                return
-            self.asked.append((verb, path, fields, body))
-            if verb == "POST":
-                ticket, word = fields["x-ticket"], self.words.pop(0) if len(self.words) > 1 else self.words[0]
-                self.queries[ticket] = (word, monotonic())
-                if word in ("reset", "drop"):
-                    if word == "reset":
-                        del self.queries[ticket]
-                        link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                    link.close()
-                    return
-                self.news(link, ticket)
-            elif verb == "GET":
-                self.page(link, *path.split("/")[2:])
-            elif verb == "DELETE" and self.torn_deletes:
-                self.torn_deletes -= 1
-                link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                link.close()
-            elif self.queries.get(path.split("/")[2], ("",))[0] != "mute":
-                self.queries.pop(path.split("/")[2], None)
-                self.answer(link, 204)
-
-    def posts(self):
-        return [each for each in self.asked if each[0] == "POST"]
-
-    def news(self, link, ticket):
-        word, since = self.queries.get(ticket, ("error", 0))
-        kind, _, value = word.partition(":")
-        if kind == "sends":
-            self.queries[ticket] = ("rows:1", since)
-            return self.send(link, {**SPOILT, **MORE}[value])
-        if kind in ("hang", "mute"):
-            gevent.sleep(30)
-        elif kind in ("runs", "notes"):
-            gevent.sleep(0.05)
-            if (monotonic() - since) * 1000 < int(value):
-                note = [("X-Remark", "done"), ("X-Value", "0.01")] if kind == "notes" else []
-                return self.answer(link, 202, note)
-            kind, value = "rows", "1"
-        elif kind == "drop":
-            kind, value = "rows", "1"
-        if kind == "odd":
-            return self.answer(link, 200, [("X-Pages", "nan")])
-        if kind in ("rows", "lost", "torn"):
-            told = [("X-Pages", value or 2), ("X-Cost-Ms", 5), ("X-Needed-Mb", 1),
-                    ("X-Meter", "depth:0;concurrent:2")]
-            return self.answer(link, 200, told, b"a\tb\t0\n")
-        status = {"full": 503, "over": 504}.get(kind, 500)
-        return self.answer(link, status, [("X-Shed", 1)] if status != 500 else [])
-
-    def page(self, link, ticket, number):
-        if number == "0":
-            return self.news(link, ticket)
-        word = self.queries[ticket][0]
-        if word == "lost":
-            return self.answer(link, 500)
-        if word.startswith("torn:"):
-            self.queries[ticket] = (f"rows:{word[5:]}", 0)
-            return self.send(link, SPOILT["short"])
-        return self.answer(link, 200, [("X-Page", number)], f"a\tb\t{number}\n".encode())
-
-    def send(self, link, pieces):
-        try:
-            for piece in pieces:
-                if piece is None:
-                    return
-                link.sendall(piece)
-        except OSError:
-            self.refused = True
-        link.close()
-
-    def answer(self, link, status, fields=(), body=b""):
-        head = [f"HTTP/1.1 {status} said", *(f"{name}: {value}" for name, value in fields),
-                f"Content-Length: {len(body)}", "", ""]
-        link.sendall("\r\n".join(head).encode() + body)
-
-
-def read_request(link):
-    data = b""
-    while b"\r\n\r\n" not in data:
-        try:
-            piece = link.recv(4096)
-        except OSError:
-            piece = b""
-        if not piece:
-            return None, None, None, None
-        data += piece
-    head, _, body = data.partition(b"\r\n\r\n")
-    first, *rest = head.decode().split("\r\n")
-    fields = {name.lower(): value for name, value in (each.split(": ", 1) for each in rest)}
-    while len(body) < int(fields.get("content-length", 0)):
-        body += link.recv(4096)
-    return *first.split()[:2], fields, body
-
-
-def at(server):
-    host, port = server.address
-    return f"{host}:{port}"
-
-
-class Rig:
+class Rig(Farm):
     """A gateway in this process between stand-in engines, a stand-in directory and a client."""
 
-    GROUPS = {"look": ("retryable", 1500, {}), "pay": ("fragile", 1500, {}),
-              "load": ("dedup", 5000, {"group": "all", "memorySpanUs": 10 * SECOND, "inTurn": True})}
-
     def __init__(self):
-        self.engines, self.states, self.answers, self.serial = {}, {}, {}, 1
-        self.strangers = []
-        self.gateway, self.greenlets, self.limit, self.silent, self.ended = None, [], 200, False, False
-        self.settings = {
-            "classes": [{"name": name, "promiseUs": 400_000, "deadlineUs": limit * 1000, "effect": effect,
-                         "worth": 1.0, "lateValue": 1.0, **more}
-                        for name, (effect, limit, more) in self.GROUPS.items()],
-            "limits": {"maxAttempts": 4, "cancel": True, "dialTimeoutUs": 150_000, "idleCloseUs": 15 * SECOND,
-                       "secondCopies": True, "retryAfter": True, "maxRetryAfterUs": 500_000},
-            "rules": {"keyQuietUs": 300_000}, "report": {"how": "answers", "fields": ["depth", "concurrent"]},
-            "domain": {"widthByClass": [1, 1, 1], "coresByKind": [8], "costInAnswers": True}, "kinds": ["m"],
-            "discovery": "push", "stepUs": 1000, "siblings": 1}
+        super().__init__()
+        self.answers, self.strangers, self.gateway, self.greenlets = {}, [], None, []
+        self.ended, self.installation = False, None
 
     def set(self, path, value):
         part, name = path.split(".")
@@ -327,52 +175,19 @@
     def directory_silent(self, word):
         self.silent = word == "yes"
 
-    def engine(self, name, *words):
-        self.engines[name], self.states[name] = StandInEngine(words), "in_service"
-
     def sockets(self, limit):
         self.limit = int(limit)
 
     def down(self, name):
         self.engines[name].server.stop(0)
 
-    def configuration(self, listen):
-        servers = [{"id": name, "addr": at(each.server), "zone": "z", "kind": "m", "cell": 0,
-                    "state": self.states[name], "weight": 1, "started_ms": 0}
-                   for name, each in self.engines.items()]
-        self.names = DatagramServer(("127.0.0.1", 0), self.directory)
-        self.names.start()
-        return {"name": "n0", "listen": listen, "seed": "0f", "settings": self.settings,
-                "limits": {"sockets": self.limit, "memory_mb": 192, "cores": 1.0},
-                "names": at(self.names),
-                "known": {"index": 1, "updates": [{"endpoints": {"full": True, "servers": servers}}]}}
-
-    def directory(self, packet, peer):
-        if self.silent:
-            return
-        reply = DNSRecord.parse(packet).reply()
-        for name, engine in self.engines.items():
-            if self.states[name] != "gone":
-                host, port = engine.server.address
-                target, draining = f"{name}.z.hosts", int(self.states[name] == "draining")
-                reply.add_answer(RR(directory.NAME, QTYPE.SRV, rdata=SRV(draining, 10, port, target)))
-                reply.add_ar(RR(target, QTYPE.A, rdata=A(host)))
-                reply.add_ar(RR(target, QTYPE.TXT, rdata=TXT(["kind=m", "cell=0", "started=0"])))
-        reply.add_auth(RR("farm.lan", QTYPE.SOA, rdata=SOA("ns.lan", "op.lan", (self.serial, 1, 1, 1, 1))))
-        self.names.sendto(reply.pack(), peer)
-
     def start(self):
-        self.gateway = GatewayProcess(self.configuration(self.spare_address()))
+        self.listen = spare_address()
+        self.gateway = GatewayProcess(self.configuration("{}:{}".format(*self.listen)), self.installation)
         self.gateway.server.start()
         self.greenlets.append(gevent.spawn(self.gateway.run))
         self.connect()
 
-    def spare_address(self):
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.listen = probe.getsockname()
-        return "{}:{}".format(*self.listen)
-
     def connect(self):
         for _ in range(300):
             try:
@@ -389,14 +204,15 @@
         self.ended = True
 
     def close(self):
-        for each in [*(engine.server for engine in self.engines.values()), self.names]:
-            each.stop(0)
+        self.stop()
         for each in self.strangers:
             each.close()
         if self.gateway is not None:
             self.gateway.server.stop(0)
             self.gateway.parts.kill()
             self.gateway.lookup.following.kill()
+            if self.gateway.operator is not None:
+                self.gateway.operator.close()
         gevent.killall(self.greenlets)
 
     def raw(self, *words):
@@ -447,9 +263,6 @@
     def hang_up(self):
         self.client.shutdown(socket.SHUT_RDWR)
 
-    def change(self, name, state):
-        self.states[name], self.serial = state, self.serial + 1
-
     def stale_list(self, serial):
         self.serial = int(serial)
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,7 +9,6 @@
 import gevent
 import orjson
 import pytest
-from conftest import MORE, SPOILT, at
 from gevent import socket
 from typer.testing import CliRunner
 
@@ -17,6 +16,8 @@
 from pathturn.core import interface as names
 from pathturn.process.limits import shares
 from pathturn.process.log import LINES_A_SECOND, Log
+from pathturn.standins.engines import MORE, SPOILT
+from pathturn.standins.farm import at
 from pathturn.wire import directory, jsonrpc, warehouse
 from pathturn.wire.clients import Session
 from pathturn.wire.http import Answers, Unreadable
