--- a/pathturn/background/scheduler.py
+++ b/pathturn/background/scheduler.py
@@ -62,6 +62,10 @@
             job.steps.close()
             job.result.set_exception(Cancelled(f"{job.name}: {why}"))
 
+    def cancel_all(self, why: str) -> None:
+        for job in list(self.jobs.values()):
+            self.cancel(job, why)
+
     def run(self) -> None:
         while True:
             if not self.jobs:
--- a/pathturn/change/conductor.py
+++ b/pathturn/change/conductor.py
@@ -89,8 +89,9 @@
 
     def stop(self) -> None:
         """What is not kept by now is not kept: as after a crash, though told at once."""
+        self.stopped = True
+        self.scheduler.cancel_all("the gateway was told to stop")  # else a large document would hold it up
         with self.lock:
-            self.stopped = True
             if self.change is not None:
                 self._undo("the gateway was told to stop")
 
--- a/pathturn/control/protocol.py
+++ b/pathturn/control/protocol.py
@@ -6,12 +6,13 @@
 
 import msgspec
 
+from pathturn.background.scheduler import Cancelled, Full
 from pathturn.change.conductor import Request, shown
 from pathturn.change.ledger import Broken, Unwritten
 from pathturn.change.states import Change, Refused
 from pathturn.config.read import Unusable
 
-MALFORMED, UNKNOWN, UNUSABLE, REFUSED, FAULTY, UNDURABLE = -32700, -32601, -32602, -32010, -32011, -32012
+MALFORMED, UNKNOWN, UNUSABLE, REFUSED, FAULTY, UNDONE = -32700, -32601, -32602, -32010, -32011, -32012
 MOST_HISTORY = 1_000
 
 
@@ -64,10 +65,12 @@
         except Unusable as fault:
             return fault_line(number, FAULTY, f"{len(fault.faults)} faults",
                               faults=[each._asdict() for each in fault.faults])
-        except (Unwritten, Broken) as fault:
-            return fault_line(number, UNDURABLE, str(fault))
+        except (Unwritten, Broken, Cancelled, Full) as fault:
+            return fault_line(number, UNDONE, str(fault))
         except TypeError as fault:
             return fault_line(number, UNUSABLE, str(fault))
+        except Exception as fault:  # noqa: BLE001 - whatever goes wrong, whoever asked is told
+            return fault_line(number, UNDONE, f"{type(fault).__name__}: {fault}")
 
     def _check(self, document: Any) -> dict[str, Any]:
         found = self.operated.check(document)
--- a/pathturn/control/server.py
+++ b/pathturn/control/server.py
@@ -43,8 +43,9 @@
         try:
             while piece := self._receive(link, bool(lines.rest)):
                 for line in lines.feed(memoryview(piece)):
+                    answer = self.calls.answer(line)  # a large document takes its time
                     with gevent.Timeout(WRITE_S, TimeoutError):
-                        link.sendall(self.calls.answer(line))
+                        link.sendall(answer)
                     answered += 1
                 gevent.sleep(0)
         except Unusable as fault:
