A change's ledger entry tells what it changes; once-only batches are counted too

Need: history must show what changed, and single execution must be counted for once-only batches as for loads.

Change: a summary by names of what one document has that another has not, in slices; the crowd's once-only batches carry a mark that engines count, and the harmful change of the benchmark routes them as well; an undo that races the guard's own is tested.

--- a/benchmarks/change_wire.py
+++ b/benchmarks/change_wire.py
@@ -26,7 +26,8 @@
 POOLS = {"good": {"ids": "n*"}, "bad": {"ids": "worn"}, "all": {}}
 DOCUMENT = {"version": 1, "pools": POOLS, "default": "good",
             "routes": [{"name": "a", "match": {"groups": ["load"], "key_prefixes": ["k"]}, "to": "good"},
-                       {"name": "b", "match": {"groups": ["look"], "data_sets": [[1, 5]]}, "to": "good"}],
+                       {"name": "b", "match": {"groups": ["look"], "data_sets": [[1, 5]]}, "to": "good"},
+                       {"name": "c", "match": {"groups": ["pay"]}, "to": "good"}],
             "change": {"watch": "8s", "canary": [{"share": "50%", "hold": "2s"}]}}
 
 
@@ -49,7 +50,8 @@
 
 
 def harmful(base: int, name: str) -> Request:
-    """Loads and half of the lookups to an engine that errors some, resets some, and is alone."""
+    """Loads, once-only batches and half of the lookups to an engine that errors some, resets some, and is
+    alone."""
     rows = [row | {"to": "bad"} for row in DOCUMENT["routes"]]
     return Request(name, base, "bench", "harm on purpose", DOCUMENT | {"routes": rows})
 
--- a/pathturn/change/conductor.py
+++ b/pathturn/change/conductor.py
@@ -11,6 +11,7 @@
 import gevent
 from gevent.lock import RLock
 from msgspec import Raw
+from msgspec.structs import replace
 
 from pathturn.background.scheduler import Scheduler
 from pathturn.change import states
@@ -18,6 +19,7 @@
 from pathturn.change.ledger import Ledger, Unwritten, digest
 from pathturn.change.memory import Lately
 from pathturn.change.states import Change, Refused, Sight
+from pathturn.change.what import differences
 from pathturn.config.document import Document
 from pathturn.config.read import Unusable, canonical, encoding, parse, parsing, reading, spend, through
 from pathturn.core import interface as names
@@ -126,6 +128,8 @@
             wanted = Change(request.id, request.base, number, request.who, request.why, "staged",
                             document.change, self.clock())
             change = states.stage(wanted, self.router.present.generation, self.change)
+            what = self._job("what", differences(self.router.present.document, document))
+            change = replace(change, what=what)
             table = Table(change.generation, document, self.facade.groups)
             self._job("compile", self.router.compile(table))
             self._write(self.ledger.staged, change, self._job("encode", encoding(document)))
@@ -288,7 +292,8 @@
 def shown(change: Change) -> dict[str, Any]:
     """A change as answers and tables show it."""
     return {"id": change.id, "state": change.state, "generation": change.generation, "base": change.base,
-            "who": change.who, "why": change.why, "staged_us": change.staged_us, "since_us": change.since_us,
+            "who": change.who, "why": change.why, "what": list(change.what), "staged_us": change.staged_us,
+            "since_us": change.since_us,
             "step": change.step, "share": change.share, "reason": change.reason,
             "figures": list(change.figures)}
 
--- a/pathturn/change/states.py
+++ b/pathturn/change/states.py
@@ -38,6 +38,7 @@
     step: int = 0
     since_us: int = 0
     extended: int = 0
+    what: tuple[str, ...] = ()
     reason: str = ""
     figures: tuple[str, ...] = ()
 
--- a/pathturn/cli/change.py
+++ b/pathturn/cli/change.py
@@ -58,7 +58,8 @@
     when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(change["since_us"] / 1e6))
     share = f" at {change['share']:.0%}" if change["state"] == "canary" else ""
     return (f"{when}  {change['id']}  {change['state']}{share}  {change['base']} -> {change['generation']}  "
-            f"{change['who']}: {change['why']}" + (f"\n    {change['reason']}" if change["reason"] else ""))
+            f"{change['who']}: {change['why']}\n    {'; '.join(change['what'])}"
+            + (f"\n    {change['reason']}" if change["reason"] else ""))
 
 
 @app.command()
--- a/pathturn/standins/clients.py
+++ b/pathturn/standins/clients.py
@@ -91,7 +91,8 @@
         elif len(caller.open) < MOST_OPEN:
             group = "pay" if roll < 0.3 else "look"
             self.sent[group] += 1
-            caller.send(group, customer=f"farm{self.chance.randrange(8)}",
+            nonce = f"pay{self.sent['pay']}-1" if group == "pay" else None
+            caller.send(group, nonce=nonce, customer=f"farm{self.chance.randrange(8)}",
                         data_set=self.chance.randrange(1, 9))
 
     def load(self, key: str) -> None:
@@ -128,14 +129,15 @@
 
 def judged(begun: Iterable[tuple[float, str]], returned: Iterable[str],
            span_s: float = 10.0) -> dict[str, int]:
-    """What the engines saw of the loads. A repeat within the span is dropped by its nonce, so that only the
-    first has its effect; one after it counts as `doubled`. Turns of a key are in order by their first
-    beginnings."""
+    """What the engines saw of loads and once-only batches. A load's repeat within the span is dropped by its
+    nonce, so that only the first has its effect; one after it counts as `doubled`, as does any repeat of a
+    once-only batch. Turns of a key are in order by their first beginnings."""
     seen: dict[str, float] = {}
     repeats = doubled = 0
     for at, nonce in sorted(begun):
         repeats += nonce in seen
-        doubled += at - seen.setdefault(nonce, at) > span_s
+        doubled += nonce in seen and (nonce.startswith("pay") or at - seen[nonce] > span_s)
+        seen.setdefault(nonce, at)
     order: dict[str, int] = {}
     wrong = 0
     for nonce in seen:
--- a/pathturn/standins/engines.py
+++ b/pathturn/standins/engines.py
@@ -12,7 +12,8 @@
 from gevent.server import StreamServer
 
 MOST_ASKED = 100_000
-RUN = frozenset({"rows", "runs", "notes", "reset", "drop", "lost"})  # words by which a batch has its effect
+# Words by which a batch has its effect, or may have had it for all that anybody can tell.
+RUN = frozenset({"rows", "runs", "notes", "reset", "drop", "lost", "error", "hang"})
 GOOD = (b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\nX-Cost-Ms: 5\r\nX-Needed-Mb: 1\r\nContent-Length: 6\r\n\r\n"
         b"a\tb\t0\n")
 # What a peer may send in place of a good answer; with a None behind it the connection stays open.
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -17,7 +17,7 @@
 
 from pathturn.change.conductor import Request
 from pathturn.change.ledger import Unwritten
-from pathturn.change.states import Refused
+from pathturn.change.states import Refused, Sight
 from pathturn.cli import app
 from pathturn.config.read import Unusable
 from pathturn.control import server
@@ -33,6 +33,7 @@
     "routes": [
         {"name": "loads", "match": {"groups": ["load"]}, "to": "good"},
         {"name": "sets", "match": {"groups": ["look"], "data_sets": [[1, 5]]}, "to": "good"},
+        {"name": "once", "match": {"groups": ["pay"]}, "to": "good"},
     ],
     "change": {"watch": "4s", "canary": [{"share": "50%", "hold": "2s"}], "unclear": "keep"},
 }
@@ -176,6 +177,7 @@
     both = [gevent.spawn(site.operator.undo, winner, who, "stop") for who in ("x", "y")]
     gevent.joinall(both)
     assert both[0].value == both[1].value and both[0].value.state == "undone"
+    assert again.what == ("routes: 3 changed (loads, sets, once)",)
     with pytest.raises(Refused, match="generation 7"):
         site.operator.stage(request("late", base=7))
     with pytest.raises(Refused, match="no change"):
@@ -185,6 +187,16 @@
     assert site.conductor.change is None
 
 
+def test_an_undo_that_races_the_guards_own_is_one_undo(site, monkeypatch) -> None:
+    site.operator.stage(request("c", to="one"))
+    site.operator.apply("c")
+    monkeypatch.setattr(site.conductor, "_sight", lambda: Sight("look: late", ()))
+    both = [gevent.spawn(site.conductor.look), gevent.spawn(site.operator.undo, "c", "me", "too")]
+    gevent.joinall(both)
+    assert both[1].value.reason == "harm: look: late"
+    assert [step.change.state for step in site.operator.ledger.steps("c")] == ["staged", "canary", "undone"]
+
+
 def test_a_step_that_cannot_be_written_does_not_take_effect_and_an_undo_does(site) -> None:
     site.operator.stage(request("c", to="one"))
     moved = site.operator.ledger.moved
