--- a/pathturn/change/guard.py
+++ b/pathturn/change/guard.py
@@ -13,7 +13,6 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
 from itertools import accumulate
 from math import inf, log, sqrt
 from typing import NamedTuple
@@ -307,12 +306,3 @@
 def bound(weight: float, false_alarms: float) -> float:
     """What the statistic passes by chance at any time with that probability, after so many batches' worth."""
     return sqrt((1 + RHO / weight) * (log(1 + weight / RHO) + 2 * log(1 / (2 * false_alarms))))
-
-
-def merged(tallies: Iterable[Tally]) -> Tally:
-    """Several tallies as one, for a table of all groups."""
-    total = Tally()
-    for tally in tallies:
-        total.batches += tally.batches
-        total.bad = [have + more for have, more in zip(total.bad, tally.bad)]
-    return total
--- a/pathturn/change/ledger.py
+++ b/pathturn/change/ledger.py
@@ -46,6 +46,17 @@
     change: Change
 
 
+FIXES = {"locked": "another process has it, and each gateway needs one of its own",
+         "unable to open": "make its folder, writable for this user",
+         "readonly": "make the file and its folder writable for this user",
+         "full": "make room on its disk"}
+
+
+def _fix(fault: str) -> str:
+    return next((fix for word, fix in FIXES.items() if word in fault),
+                "move the file away to begin a new ledger")
+
+
 def digest(*parts: object) -> bytes:
     return blake2b(b"\x00".join(part if isinstance(part, bytes) else str(part).encode() for part in parts),
                    digest_size=16).digest()
@@ -61,7 +72,7 @@
             self.base = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=1.0)
             self._open()
         except sqlite3.Error as fault:
-            raise Broken(f"{path}: {fault}; move the file away to begin a new ledger") from fault
+            raise Broken(f"{path}: {fault}; {_fix(str(fault))}") from fault
 
     def _open(self) -> None:
         for pragma in ("locking_mode=EXCLUSIVE", "journal_mode=WAL", "synchronous=FULL"):
--- a/pathturn/cli/config.py
+++ b/pathturn/cli/config.py
@@ -36,7 +36,7 @@
     import orjson
 
     from pathturn.core.interface import Seat
-    from pathturn.process.settings import build
+    from pathturn.process.settings import build, further_share
     from pathturn.routing.checks import Facts
     from pathturn.wire import directory
 
@@ -44,6 +44,5 @@
         told = orjson.loads(path.read_bytes())
         _, rows = directory.known(told["known"])
         _, groups = build(int(told["seed"], 16), told["settings"])
-        rules = told["settings"].get("rules") or {}
     seats = tuple(Seat(at, row[0], *row[2:6]) for at, row in enumerate(rows))
-    return Facts(groups, seats, rules.get("extraPerRequest") if rules.get("budgetSpanUs") else None)
+    return Facts(groups, seats, further_share(told["settings"]))
--- a/pathturn/config/units.py
+++ b/pathturn/config/units.py
@@ -66,9 +66,3 @@
 
 
 READERS = {Micros: micros, Bytes: size, Share: share, Rate: rate}
-
-
-def told(time_us: int) -> str:
-    """A time as a person writes it, in the largest unit that keeps it whole."""
-    unit = next((name for name in ("h", "m", "s", "ms") if time_us and time_us % TIMES[name] == 0), "us")
-    return f"{time_us // TIMES[unit]}{unit}"
--- a/pathturn/process/operator.py
+++ b/pathturn/process/operator.py
@@ -12,6 +12,7 @@
 from pathturn.control.protocol import Calls
 from pathturn.control.server import Control
 from pathturn.memory.facade import Facade
+from pathturn.process.settings import further_share
 from pathturn.routing.checks import Facts
 from pathturn.wire.clients import MOST_OPEN
 
@@ -20,9 +21,8 @@
     def __init__(self, told: Installation, facade: Facade, settings: dict[str, Any], clients: int,
                  clock: Callable[[], int], log: Callable[[str], None]) -> None:
         """Raises what makes the operator's part unusable; nothing of it is in force then."""
-        rules = settings.get("rules") or {}
         self.facade, self.most_open = facade, clients * MOST_OPEN
-        self.further = rules.get("extraPerRequest") if rules.get("budgetSpanUs") else None
+        self.further = further_share(settings)
         # Events that wait for a round are traffic; so is a core that is behind its own clock.
         self.scheduler = Scheduler(clock, lambda: bool(facade.events))
         self.ledger = Ledger(Path(told.ledger))
--- a/pathturn/process/settings.py
+++ b/pathturn/process/settings.py
@@ -38,6 +38,12 @@
     )
 
 
+def further_share(config: dict[str, Any]) -> float | None:
+    """The share of further dispatches that the settings allow; None where they state no budget."""
+    rules = config.get("rules") or {}
+    return (rules.get("extraPerRequest") or 0.0) if rules.get("budgetSpanUs") else None
+
+
 def build(seed: int, config: dict[str, Any]) -> tuple[Gateway, dict[str, names.ServiceGroup]]:
     """A gateway's decisions, and its service groups by their names, in the order of their indices."""
     domain, limits, rules = config.get("domain") or {}, config.get("limits") or {}, config.get("rules") or {}
@@ -48,7 +54,7 @@
         raise ValueError("settings name no service group")
     budget = None
     if rules.get("budgetSpanUs"):
-        budget = (rules.get("freeResends") or 0, rules.get("extraPerRequest") or 0.0, rules["budgetSpanUs"])
+        budget = (rules.get("freeResends") or 0, further_share(config), rules["budgetSpanUs"])
     gateway = Gateway(
         seed=seed,
         instance=config.get("ordinal", 0),
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -236,8 +236,10 @@
 
 def test_two_processes_do_not_share_a_ledger(tmp_path) -> None:
     book = life(tmp_path / "l")
-    with pytest.raises(Broken, match="locked"):
+    with pytest.raises(Broken, match="locked; another process has it"):
         Ledger(tmp_path / "l")
+    with pytest.raises(Broken, match="make its folder"):
+        Ledger(tmp_path / "none" / "l")
     book.close()
 
 
