--- a/pathturn/change/conductor.py
+++ b/pathturn/change/conductor.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Generator
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -13,7 +14,7 @@
 from msgspec import Raw
 from msgspec.structs import replace
 
-from pathturn.background.scheduler import Scheduler
+from pathturn.background.scheduler import Full, Scheduler
 from pathturn.change import states
 from pathturn.change.guard import BESIDE, LEFT, TOUCHED, Before, Ended, Finding, Guard
 from pathturn.change.ledger import Ledger, Unwritten, digest
@@ -243,8 +244,9 @@
     def _take(self, change: Change) -> None:
         self.change = change
         if change.state == "kept":
+            old = self.router.present
             self.router.settle(self.table)
-            self._over()
+            self._over(old)
         else:
             self.router.try_out(self.table, change.share, change.id)
         self._tell(change)
@@ -262,7 +264,7 @@
         # One turn of the loop: no round and no batch between the tables and what goes back to them.
         self.router.settle(self.router.present)
         moved = self.facade.take_back(undone.generation)
-        self._over()
+        self._over(self.table)
         self.undo_us = self.clock() - asked
         self.log(f"change {undone.id} code=taken_back batches={moved} us={self.undo_us}")
         self._tell(undone)
@@ -274,8 +276,12 @@
             if self.change is not None:
                 self._undo(reason)
 
-    def _over(self) -> None:
+    def _over(self, useless: Table) -> None:
+        """The change has ended; the table that nobody goes by any more is freed in the background, as a large
+        one takes twenty milliseconds."""
         self.change = self.table = self.guard = None
+        with suppress(Full):
+            self.scheduler.submit("free", useless.dismantle(), USUAL)
 
     # The disk in a thread of its own, long work in the background.
     def _write(self, write: Callable[..., None], *values: Any) -> None:
--- a/pathturn/change/guard.py
+++ b/pathturn/change/guard.py
@@ -13,12 +13,14 @@
 """
 
 from collections import defaultdict
+from collections.abc import Iterator
 from itertools import accumulate
 from math import inf, log, sqrt
 from typing import NamedTuple
 
 from pathturn.config.document import ChangePolicy
 
+SLICE = 64  # batches between two yields
 METRICS = ("late", "errored", "pushed_back", "given_up", "slow", "utility_lost")
 LATE_PART = 0.6  # of the allowed false alarms go to the one metric that sums most others up
 RHO = 50.0  # batches at which the bound is tightest
@@ -110,14 +112,25 @@
 
     def seal(self) -> "Before":
         """Once all are in: the quantile that makes a batch slow needs all of a group."""
+        for _ in self.sealing():
+            pass
+        return self
+
+    def sealing(self) -> Iterator[None]:
+        """The same in slices."""
         for group, rows in self.held.items():
             times = sorted(ended.latency_us for _, _, ended in rows if ended.how == "returned")
             self.slow_us[group] = times[int(SLOW * (len(times) - 1))] if len(times) >= 20 else inf
-            for at_us, touched, ended in rows:
+            for turn, (at_us, touched, ended) in enumerate(rows):
+                if turn % SLICE == 0:
+                    yield
                 self.tallies[group, touched].count(badness(ended, self.slow_us[group]), at_us // 1_000_000)
             self.scatters[group] = self._scatter(group)
-        self.held.clear()
-        return self
+        while self.held:
+            _, rows = self.held.popitem()
+            while rows:
+                del rows[-SLICE:]
+                yield
 
     def of(self, group: str, touched: bool) -> Tally:
         return self.tallies.get((group, touched)) or Tally()
--- a/pathturn/change/memory.py
+++ b/pathturn/change/memory.py
@@ -33,5 +33,5 @@
                 yield
             if row.at_us >= now_us - self.span_us:
                 told.add(row.at_us, touches(row.told), row.ended)
-        yield
-        return told.seal()
+        yield from told.sealing()
+        return told
--- a/pathturn/change/what.py
+++ b/pathturn/change/what.py
@@ -27,12 +27,21 @@
                 kinds["changed"].append(name)
             elif part == "routes" and before[name][0] != place:
                 kinds["moved"].append(name)
-        kinds["removed"] = [name for name in before if name not in after]
-        if before.keys() != after.keys():
+        for turn, name in enumerate(before):
+            if turn % SLICE == 0:
+                yield
+            if name not in after:
+                kinds["removed"].append(name)
+        if kinds["added"] or kinds["removed"]:
             kinds["moved"] = []  # what others' coming and going pushed on has not itself been moved
         found = [f"{len(names)} {kind} ({_few(names)})" for kind, names in kinds.items() if names]
         if found:
             told.append(f"{part}: {', '.join(found)}")
+        for names in (before, after):  # freed in one go ten thousand take as long as ten slices
+            while names:
+                for _ in range(min(SLICE, len(names))):
+                    names.popitem()
+                yield
     told += [name for name in ("default", "change") if getattr(old, name) != getattr(new, name)]
     return tuple(told) or ("nothing",)
 
--- a/pathturn/routing/table.py
+++ b/pathturn/routing/table.py
@@ -11,6 +11,7 @@
 from pathturn.routing.pools import LivePool
 
 HASHES = 1 << 64
+FREED = 32  # routes between two yields
 
 
 def part(salt: str, unit: str) -> float:
@@ -104,6 +105,16 @@
         self.default = self._way("default", document.default, quotas)
         yield from self.index.build(boxes(document))
 
+    def dismantle(self) -> Iterator[None]:
+        """Frees a table that gives no courses any more, in slices; courses that batches still have stand by
+        themselves. Of no use afterwards."""
+        yield from self.index.dismantle()
+        routes, self.document = list(self.document.routes), None
+        for part in (self.ways, routes):
+            while part:
+                del part[-FREED:]
+                yield
+
     def _quotas(self, meters: MutableMapping[str, Meter]) -> dict[tuple[str, str], list[Quota]]:
         found: dict[tuple[str, str], list[Quota]] = {}
         for limit in self.document.limits:
