A change whose traffic never comes gets the policy's stated answer

Cause: with no batch of a touched kind, before or during the watch, a change was kept as if no harm had been seen.

Change: where the document alters more than the policy of changes and nothing that it touches came, the watch counts as one that could not tell.

--- a/pathturn/change/conductor.py
+++ b/pathturn/change/conductor.py
@@ -20,7 +20,7 @@
 from pathturn.change.ledger import Ledger, Unwritten, digest
 from pathturn.change.memory import Lately
 from pathturn.change.states import Change, Refused, Sight
-from pathturn.change.what import differences
+from pathturn.change.what import alters, differences
 from pathturn.config.document import Document
 from pathturn.config.read import Unusable, canonical, encoding, parse, parsing, reading, spend, through
 from pathturn.core import interface as names
@@ -233,7 +233,10 @@
     def _sight(self) -> Sight:
         findings = self.guard.findings()
         worst = max((each for each in findings if each.harm), key=Finding.weight, default=None)
-        return Sight(None if worst is None else str(worst), tuple(self.guard.unjudged()),
+        unjudged = self.guard.unjudged()
+        if not self.guard.groups() and alters(self.change.what):
+            unjudged = ["anything that it touches"]  # none came: that is no proof of no harm
+        return Sight(None if worst is None else str(worst), tuple(unjudged),
                      tuple(map(str, findings)))
 
     # Steps take effect; no other place changes the tables.
--- a/pathturn/change/what.py
+++ b/pathturn/change/what.py
@@ -46,6 +46,12 @@
     return tuple(told) or ("nothing",)
 
 
+def alters(what: tuple[str, ...]) -> bool:
+    """Whether batches may be treated otherwise: not where nothing but the policy of changes is another
+    one."""
+    return any(line not in ("nothing", "change") for line in what)
+
+
 def _named(part: Any) -> Generator[None, None, dict[str, tuple[int, Any]]]:
     rows: Iterable = part.items() if isinstance(part, dict) else ((each.name, each) for each in part)
     found = {}
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -187,6 +187,21 @@
     assert site.conductor.change is None
 
 
+def test_a_change_whose_traffic_never_comes_gets_the_stated_answer(site) -> None:
+    quick = {"watch": "300ms", "canary": []}
+    for name, change, more, state in (
+        ("a", quick | {"unclear": "undo"}, {}, "undone"),
+        ("b", quick | {"unclear": "undo"}, {"routes": DOCUMENT["routes"]}, "kept"),
+        ("c", quick | {"unclear": "keep"}, {}, "kept"),
+    ):
+        base = site.conductor.router.present.generation
+        site.operator.stage(request(name, base, "one", change=change, **more))
+        site.operator.apply(name)
+        site.over()
+        ended = site.operator.history(1)[0]
+        assert ended.state == state and ("too little" in ended.reason) == (name != "b"), ended
+
+
 def test_an_undo_that_races_the_guards_own_is_one_undo(site, monkeypatch) -> None:
     site.operator.stage(request("c", to="one"))
     site.operator.apply("c")
