A start undoes every change left open, not only one

Cause: read once more, an undo that the disk did not take leaves its change open in the ledger, and a later one may be staged beside it; recovery then undid one of the two.

Result: tested; the generation in force was right before as well.

--- a/pathturn/change/ledger.py
+++ b/pathturn/change/ledger.py
@@ -201,11 +201,11 @@
     def recover(self, now_us: int) -> Change | None:
         """After a stop at any point: what was not kept is undone, and the generation before it is in
         force."""
-        left = self.open_change()
-        if left is None:
-            return None
-        ended = undo(left, now_us, f"the gateway ended while it was {left.state}")
-        self.moved(ended)
+        ended = None
+        # More than one where the disk did not take an undo and a later change was staged all the same.
+        while (left := self.open_change()) is not None:
+            ended = undo(left, now_us, f"the gateway ended while it was {left.state}")
+            self.moved(ended)
         return ended
 
     def _put(self, change: Change) -> None:
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -218,22 +218,30 @@
     assert str(tmp_path / "l") in str(found.value) and "\n" not in str(found.value)
 
 
-def test_another_programs_and_another_versions_files_are_refused(tmp_path) -> None:
-    other = sqlite3.connect(tmp_path / "other")
-    other.execute("CREATE TABLE t (x)")
+def meddle(path, statement):
+    other = sqlite3.connect(path)
+    other.execute(statement)
     other.commit()
     other.close()
+
+
+def test_another_programs_and_another_versions_files_are_refused(tmp_path) -> None:
+    meddle(tmp_path / "other", "CREATE TABLE t (x)")
     with pytest.raises(Broken, match="another program"):
         Ledger(tmp_path / "other")
     life(tmp_path / "l").close()
-    newer = sqlite3.connect(tmp_path / "l")
-    newer.execute("PRAGMA user_version=2")
-    newer.commit()
-    newer.close()
+    meddle(tmp_path / "l", "PRAGMA user_version=2")
     with pytest.raises(Broken, match="format 2"):
         Ledger(tmp_path / "l")
 
 
+def test_a_start_undoes_also_what_an_unwritten_undo_left_open(tmp_path) -> None:
+    book = life(tmp_path / "l")
+    book.staged(change("d", generation=3), document("c"))
+    assert book.recover(9).id == "d" and book.open_change() is None
+    assert [each.state for each in book.history()] == ["undone", "undone"] and book.present() == 1
+
+
 def test_two_processes_do_not_share_a_ledger(tmp_path) -> None:
     book = life(tmp_path / "l")
     with pytest.raises(Broken, match="locked; another process has it"):
