The control socket asks the conductor itself

Cause: six methods of the operator's part only passed calls on to the conductor.

Change: the calls get the conductor; the copies are gone.

--- a/benchmarks/change_wire.py
+++ b/benchmarks/change_wire.py
@@ -142,7 +142,7 @@
     staged = monotonic() - began
     if "error" in answer:
         raise AssertionError(answer)
-    gateway.operator.apply(name)
+    gateway.operator.conductor.apply(name)
     while gateway.operator.conductor.change is not None:
         gevent.sleep(0.05)
     gap = beat.taken()
--- a/pathturn/process/operator.py
+++ b/pathturn/process/operator.py
@@ -28,7 +28,7 @@
         self.ledger = Ledger(Path(told.ledger))
         self.conductor = Conductor(facade, self.ledger, self.scheduler, self.facts, clock, log)
         self.conductor.start(Path(told.document))
-        self.control = Control(Path(told.control), Calls(self), log) if told.control else None
+        self.control = Control(Path(told.control), Calls(self.conductor), log) if told.control else None
 
     def facts(self) -> Facts:
         return Facts(self.facade.groups, tuple(self.facade.roster.seats), self.further, self.most_open)
@@ -46,22 +46,3 @@
         if self.control is not None:
             self.control.stop()
         self.ledger.close()
-
-    # What the control socket asks for.
-    def check(self, raw: Any) -> Any:
-        return self.conductor.check(raw)
-
-    def stage(self, request: Any) -> Any:
-        return self.conductor.stage(request)
-
-    def apply(self, identity: str) -> Any:
-        return self.conductor.apply(identity)
-
-    def undo(self, identity: str, who: str, why: str) -> Any:
-        return self.conductor.undo(identity, who, why)
-
-    def status(self) -> dict[str, Any]:
-        return self.conductor.status()
-
-    def history(self, most: int) -> list[Any]:
-        return self.conductor.history(most)
--- a/pathturn/standins/demo.py
+++ b/pathturn/standins/demo.py
@@ -40,7 +40,7 @@
             _harm(gateway.operator.conductor)
         gevent.joinall(parts[1:])
         crowd.settle()
-        change = next(iter(gateway.operator.history(1)), None)
+        change = next(iter(gateway.operator.conductor.history(1)), None)
         good = _table(crowd, farm, change) and (not harm or change.state == "undone")
         gateway.asked_to_stop.set()
         parts[0].join(3)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -94,12 +94,12 @@
 def test_a_harmful_change_during_a_drain_is_undone_and_no_load_is_lost_doubled_or_reordered(site) -> None:
     traffic = gevent.spawn(site.crowd.run, 70, 60)
     gevent.sleep(4)
-    site.operator.stage(request("harm"))
+    site.conductor.stage(request("harm"))
     site.change("n2", "draining")
     drained = monotonic()
-    site.operator.apply("harm")
+    site.conductor.apply("harm")
     site.over()
-    undone = site.operator.history(1)[0]
+    undone = site.conductor.history(1)[0]
     assert undone.state == "undone" and undone.reason.startswith("harm: ") and undone.figures
     assert site.conductor.router.present.generation == 1 and site.conductor.router.trial is None
     gevent.sleep(2.5)
@@ -116,8 +116,8 @@
     """To an engine that hangs a key's first load goes out; the others wait behind it until the undo."""
     site.engines["worn"].words = ["hang"]
     limits = [{"name": "l", "pool": "bad", "out": 1}]
-    site.operator.stage(request("c", change={"watch": "30s", "canary": []}, limits=limits))
-    site.operator.apply("c")
+    site.conductor.stage(request("c", change={"watch": "30s", "canary": []}, limits=limits))
+    site.conductor.apply("c")
     for _ in range(4):
         site.crowd.load("k")
     while not site.engines["worn"].posted:
@@ -127,7 +127,7 @@
     gevent.sleep(0.5)
     held = [batch for batch in site.gateway.facade.batches.by_index.values() if not batch.sent]
     assert len(held) == 9 and {batch.course.generation for batch in held} == {2}
-    undone = site.operator.undo("c", "me", "enough")
+    undone = site.conductor.undo("c", "me", "enough")
     assert undone.state == "undone" and "enough" in undone.reason
     assert {batch.course.generation for batch in held} == {1}
     begun = monotonic()
@@ -142,12 +142,12 @@
 def test_a_good_change_is_kept_and_its_whole_meaning_is_in_force(site) -> None:
     traffic = gevent.spawn(site.crowd.run, 60, 60)
     gevent.sleep(2)
-    site.operator.stage(request("good", to={"one": 0.5, "good": 0.5}, limits=[
+    site.conductor.stage(request("good", to={"one": 0.5, "good": 0.5}, limits=[
         {"name": "l", "pool": "one", "out": 2}]))
-    site.operator.apply("good")
-    assert site.operator.status()["share"] == 0.5
+    site.conductor.apply("good")
+    assert site.conductor.status()["share"] == 0.5
     site.over()
-    assert site.operator.history(1)[0].state == "kept" and site.conductor.router.present.generation == 2
+    assert site.conductor.history(1)[0].state == "kept" and site.conductor.router.present.generation == 2
     gevent.sleep(0.5)
     quota = site.conductor.router.present.ways[0].courses[0].quotas[0]
     assert quota.meter.out <= 2
@@ -161,29 +161,29 @@
 
     def stage(name):
         try:
-            found[name] = site.operator.stage(request(name))
+            found[name] = site.conductor.stage(request(name))
         except Refused as fault:
             found[name] = fault.code
 
     gevent.joinall([gevent.spawn(stage, name) for name in ("a", "b")])
     winner = next(name for name in found if not isinstance(found[name], str))
     assert sorted(map(str, (each for each in found.values() if isinstance(each, str)))) == ["busy"]
-    again = site.operator.stage(request(winner))
-    assert again == found[winner] and len(site.operator.history(9)) == 1
+    again = site.conductor.stage(request(winner))
+    assert again == found[winner] and len(site.conductor.history(9)) == 1
     with pytest.raises(Refused, match="another document"):
-        site.operator.stage(request(winner, to="one"))
-    begun = site.operator.apply(winner)
-    assert site.operator.apply(winner) == begun
-    both = [gevent.spawn(site.operator.undo, winner, who, "stop") for who in ("x", "y")]
+        site.conductor.stage(request(winner, to="one"))
+    begun = site.conductor.apply(winner)
+    assert site.conductor.apply(winner) == begun
+    both = [gevent.spawn(site.conductor.undo, winner, who, "stop") for who in ("x", "y")]
     gevent.joinall(both)
     assert both[0].value == both[1].value and both[0].value.state == "undone"
     assert again.what == ("routes: 3 changed (loads, sets, once)",)
     with pytest.raises(Refused, match="generation 7"):
-        site.operator.stage(request("late", base=7))
+        site.conductor.stage(request("late", base=7))
     with pytest.raises(Refused, match="no change"):
-        site.operator.apply("nothing")
+        site.conductor.apply("nothing")
     with pytest.raises(Unusable):
-        site.operator.stage(request("broken", to="nowhere"))
+        site.conductor.stage(request("broken", to="nowhere"))
     assert site.conductor.change is None
 
 
@@ -195,25 +195,25 @@
         ("c", quick | {"unclear": "keep"}, {}, "kept"),
     ):
         base = site.conductor.router.present.generation
-        site.operator.stage(request(name, base, "one", change=change, **more))
-        site.operator.apply(name)
+        site.conductor.stage(request(name, base, "one", change=change, **more))
+        site.conductor.apply(name)
         site.over()
-        ended = site.operator.history(1)[0]
+        ended = site.conductor.history(1)[0]
         assert ended.state == state and ("too little" in ended.reason) == (name != "b"), ended
 
 
 def test_an_undo_that_races_the_guards_own_is_one_undo(site, monkeypatch) -> None:
-    site.operator.stage(request("c", to="one"))
-    site.operator.apply("c")
+    site.conductor.stage(request("c", to="one"))
+    site.conductor.apply("c")
     monkeypatch.setattr(site.conductor, "_sight", lambda: Sight("look: late", ()))
-    both = [gevent.spawn(site.conductor.look), gevent.spawn(site.operator.undo, "c", "me", "too")]
+    both = [gevent.spawn(site.conductor.look), gevent.spawn(site.conductor.undo, "c", "me", "too")]
     gevent.joinall(both)
     assert both[1].value.reason == "harm: look: late"
     assert [step.change.state for step in site.operator.ledger.steps("c")] == ["staged", "canary", "undone"]
 
 
 def test_a_step_that_cannot_be_written_does_not_take_effect_and_an_undo_does(site) -> None:
-    site.operator.stage(request("c", to="one"))
+    site.conductor.stage(request("c", to="one"))
     moved = site.operator.ledger.moved
 
     def full(change):
@@ -221,24 +221,24 @@
 
     site.operator.ledger.moved = full
     with pytest.raises(Unwritten):
-        site.operator.apply("c")
+        site.conductor.apply("c")
     assert site.conductor.router.trial is None and site.conductor.change.state == "staged"
     site.operator.ledger.moved = moved
-    site.operator.apply("c")
+    site.conductor.apply("c")
     site.operator.ledger.moved = full
-    assert site.operator.undo("c", "me", "anyway").state == "undone"
+    assert site.conductor.undo("c", "me", "anyway").state == "undone"
     assert site.conductor.router.trial is None and site.conductor.change is None
     site.operator.ledger.moved = moved
     assert site.operator.ledger.recover(1).state == "undone", "the next start undoes it too"
 
 
 def test_a_pool_that_the_list_empties_holds_back_no_other_and_fills_again(site) -> None:
-    site.operator.stage(request("c", to="one", change={"watch": "1s", "canary": [], "unclear": "keep"}))
-    site.operator.apply("c")
+    site.conductor.stage(request("c", to="one", change={"watch": "1s", "canary": [], "unclear": "keep"}))
+    site.conductor.apply("c")
     site.over()
     site.change("n0", "gone")
     gevent.sleep(0.6)
-    assert site.operator.status()["pools"]["one"] == {"engines": 0, "ready": 0}
+    assert site.conductor.status()["pools"]["one"] == {"engines": 0, "ready": 0}
     caller = site.crowd.callers[0]
     for data_set in (3, 3, 8, 8):
         caller.send("look", 600, data_set=data_set)
