An outcome of a keyed dispatch waits for the proof that its query is over

Cause, shown by the new scenarios on the old code: (1) wire/engines.py `_carry` reported a time-out at once and gave the query up afterwards, so the key opened after its rest while an engine that was cut off still ran it ("apart book: ran until 938.03, from 936.73"); (2) `_see_out` sent the give-up on another connection while the start was still unanswered, where it could overtake it: the engine then began a query nobody asked for (from 938.14 while another ran until 940.00); (3) a start written behind a cut was closed in the usual way, so the system still delivered it once the cut was mended ("asked e POST 0: 1 POST at e"). Ruled out by the same scenarios: a query that was heard of before the cut was proven over as it should be.

Change: all ways out of a dispatch that may still run go through `_part`; `_see_out` first waits for the answer that is due on the start's own connection, then repeats the give-up until it is answered or the engine must have ended the query, counted from the last call it may have heard. A connection with a call unanswered is torn (linger 0), so that nothing of it comes late.

--- a/pathturn/standins/engines.py
+++ b/pathturn/standins/engines.py
@@ -12,6 +12,7 @@
 from gevent.server import StreamServer
 
 MOST_ASKED = 100_000
+FORGOTTEN_S = 2.0  # the protocol's figure: a query ends by itself when it is not asked for that long
 # Words by which a batch has its effect, or may have had it for all that anybody can tell.
 RUN = frozenset({"rows", "runs", "notes", "reset", "drop", "lost", "error", "hang"})
 GOOD = (b"HTTP/1.1 200 OK\r\nX-Pages: 1\r\nX-Cost-Ms: 5\r\nX-Needed-Mb: 1\r\nContent-Length: 6\r\n\r\n"
@@ -47,6 +48,8 @@
         self.asked: deque[tuple] = deque(maxlen=MOST_ASKED)
         self.begun: list[tuple[float, str]] = []  # when, and the nonce, of each batch that began to run
         self.posted: deque[float] = deque(maxlen=MOST_ASKED)
+        # What ran, the judge of a key's order: service group, begin, end; an end to come while not yet over.
+        self.runs: dict[str, list] = {}
         self.torn_deletes = 0
         self.server = StreamServer(("127.0.0.1", 0), self.serve)
         self.server.start()
@@ -59,6 +62,10 @@
             self.asked.append((verb, path, fields, body))
             if verb == "POST":
                 ticket, word = fields["x-ticket"], self.words.pop(0) if len(self.words) > 1 else self.words[0]
+                if word.startswith("slow:"):  # still on its way for all that others can tell
+                    gevent.sleep(int(word[5:]) / 1000)
+                    word = "runs:5000"
+                self.runs[ticket] = [fields["x-queue"], monotonic(), monotonic() + FORGOTTEN_S]
                 self.posted.append(monotonic())
                 if fields.get("x-nonce") and word.partition(":")[0] in RUN:
                     self.begun.append((monotonic(), fields["x-nonce"]))
@@ -78,14 +85,21 @@
                 link.close()
             elif self.queries.get(path.split("/")[2], ("",))[0] != "mute":
                 self.queries.pop(path.split("/")[2], None)
+                self.over(path.split("/")[2])
                 self.answer(link, 204)
 
+    def over(self, ticket: str) -> None:
+        if ticket in self.runs:
+            self.runs[ticket][2] = min(self.runs[ticket][2], monotonic())
+
     def posts(self) -> list[tuple]:
         return [each for each in self.asked if each[0] == "POST"]
 
     def news(self, link: socket.socket, ticket: str) -> None:
         word, since = self.queries.get(ticket, ("error", 0))
         kind, _, value = word.partition(":")
+        if ticket in self.queries:
+            self.runs[ticket][2] = monotonic() + FORGOTTEN_S
         if kind == "sends":
             self.queries[ticket] = ("rows:1", since)
             return self.send(link, {**SPOILT, **MORE}[value])
@@ -102,9 +116,11 @@
         if kind == "odd":
             return self.answer(link, 200, [("X-Pages", "nan")])
         if kind in ("rows", "lost", "torn"):
+            self.over(ticket)
             told = [("X-Pages", value or 2), ("X-Cost-Ms", 5), ("X-Needed-Mb", 1),
                     ("X-Meter", "depth:0;concurrent:2")]
             return self.answer(link, 200, told, b"a\tb\t0\n")
+        self.over(ticket)
         status = {"full": 503, "over": 504}.get(kind, 500)
         return self.answer(link, status, [("X-Shed", 1)] if status != 500 else [])
 
--- a/pathturn/standins/farm.py
+++ b/pathturn/standins/farm.py
@@ -11,12 +11,14 @@
 
 from pathturn.config.installation import Installation, installation
 from pathturn.standins.engines import StandInEngine
+from pathturn.standins.strait import Strait
 from pathturn.wire import directory
 
 SECOND, ZONE = 1_000_000, "z"
 # (effect, time limit in ms, more settings): what the wire calls repeatable, once-only and referenced batches.
 GROUPS = {"look": ("retryable", 1500, {}), "pay": ("fragile", 1500, {}),
-          "load": ("dedup", 5000, {"group": "all", "memorySpanUs": 10 * SECOND, "inTurn": True})}
+          "load": ("dedup", 5000, {"group": "all", "memorySpanUs": 10 * SECOND, "inTurn": True}),
+          "book": ("fragile", 5000, {"inTurn": True}), "sum": ("retryable", 5000, {"inTurn": True})}
 
 
 def at(server: StreamServer | DatagramServer) -> str:
@@ -38,8 +40,8 @@
         "limits": {"maxAttempts": 4, "cancel": True, "dialTimeoutUs": 150_000, "idleCloseUs": 15 * SECOND,
                    "secondCopies": True, "retryAfter": True, "maxRetryAfterUs": 500_000},
         "rules": {"keyQuietUs": 300_000}, "report": {"how": "answers", "fields": ["depth", "concurrent"]},
-        "domain": {"widthByClass": [1, 1, 1], "coresByKind": [8], "costInAnswers": True}, "kinds": ["m"],
-        "discovery": "push", "stepUs": 1000, "siblings": 1}
+        "domain": {"widthByClass": [1] * len(GROUPS), "coresByKind": [8], "costInAnswers": True},
+        "kinds": ["m"], "discovery": "push", "stepUs": 1000, "siblings": 1}
 
 
 def installed(folder: Path, document: dict[str, Any], log: str = "plain") -> Installation:
@@ -58,6 +60,7 @@
         self.engines: dict[str, StandInEngine] = {}
         self.states: dict[str, str] = {}
         self.zones: dict[str, str] = {}
+        self.straits: dict[str, Strait] = {}
         self.serial, self.silent, self.limit, self.settings = 1, False, 200, settings()
         self.names: DatagramServer | None = None
 
@@ -65,13 +68,20 @@
         self.engines[name], self.states[name] = StandInEngine(words), "in_service"
         self.zones[name] = zone
 
+    def strait(self, name: str) -> None:
+        """From now on that engine is reached through a network that can be cut."""
+        self.straits[name] = Strait(self.engines[name].server.address)
+
+    def place(self, name: str) -> StreamServer:
+        return (self.straits.get(name) or self.engines[name]).server
+
     def change(self, name: str, state: str) -> None:
         self.states[name], self.serial = state, self.serial + 1
 
     def configuration(self, listen: str) -> dict[str, Any]:
-        servers = [{"id": name, "addr": at(each.server), "zone": self.zones.get(name, ZONE), "kind": "m",
+        servers = [{"id": name, "addr": at(self.place(name)), "zone": self.zones.get(name, ZONE), "kind": "m",
                     "cell": 0, "state": self.states[name], "weight": 1, "started_ms": 0}
-                   for name, each in self.engines.items()]
+                   for name in self.engines]
         self.names = DatagramServer(("127.0.0.1", 0), self.directory)
         self.names.start()
         return {"name": "n0", "listen": listen, "seed": "0f", "settings": self.settings,
@@ -83,9 +93,9 @@
         if self.silent:
             return
         reply = DNSRecord.parse(packet).reply()
-        for name, engine in self.engines.items():
+        for name in self.engines:
             if self.states[name] != "gone":
-                host, port = engine.server.address
+                host, port = self.place(name).address
                 target = f"{name}.{self.zones.get(name, ZONE)}.hosts"
                 draining = int(self.states[name] == "draining")
                 reply.add_answer(RR(directory.NAME, QTYPE.SRV, rdata=SRV(draining, 10, port, target)))
@@ -95,6 +105,7 @@
         self.names.sendto(reply.pack(), peer)
 
     def stop(self) -> None:
-        for each in [*(engine.server for engine in self.engines.values()), self.names]:
+        servers = [each.server for each in (*self.straits.values(), *self.engines.values())]
+        for each in [*servers, self.names]:
             if each is not None:
                 each.stop(0)
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -1,5 +1,6 @@
 """Carries dispatches to engines: from the first byte to the outcome."""
 
+import contextlib
 from collections.abc import Callable
 from functools import partial
 
@@ -16,7 +17,6 @@
 Answer = tuple[int, dict[str, str], bytes]
 # A spoilt answer comes whole when asked for again; an engine that fails so often in a row has lost it.
 TRIES, PAUSE_S = 6, 0.01
-GIVE_UPS = 3  # connections get reset under this call too; a machine that is mute to all of them is cut off
 
 
 class CalledBack(gevent.GreenletExit):
@@ -49,38 +49,55 @@
                 self._run(trip)
         except Unreachable:
             self._done(trip, names.UNREACHABLE)
+        except Unsent:
+            trip.drop("unsent")
+            self._done(trip, names.UNSENT)
         except Lost as fault:
-            trip.drop(f"lost_{fault}")
-            if dispatch.batch.keyed and not isinstance(fault, Unsent):
-                gevent.spawn(self._see_out, trip, names.RESET)
-            else:
-                self._done(trip, names.UNSENT if isinstance(fault, Unsent) else names.RESET)
+            trip.code = f"lost_{fault}"
+            self._part(trip, names.RESET)
         except Exception as fault:  # noqa: BLE001 - without an outcome its batch would never be answered
-            trip.drop(f"fault_{type(fault).__name__}")
-            self._done(trip, names.ERRORED if trip.begun else names.UNSENT)
+            trip.code = f"fault_{type(fault).__name__}"
+            self._part(trip, names.ERRORED)
         except TimeUp:
-            trip.drop("time_up")
-            self._done(trip, names.TIMED_OUT if trip.begun else names.UNSENT)
-            if trip.begun:
-                self._give_up(dispatch)
+            trip.code = "time_up"
+            self._part(trip, names.TIMED_OUT)
         except CalledBack:
-            trip.drop("called_back")
-            if trip.begun:
-                gevent.spawn(self._see_out, trip, names.CANCELLED)
-            else:
-                self._done(trip, names.UNSENT)
+            trip.code = "called_back"
+            self._part(trip, names.CANCELLED)
+
+    def _part(self, trip: "Trip", outcome: str) -> None:
+        """Ends a dispatch whose query may still run. In a greenlet of its own where that takes a while: one
+        that is called back meanwhile would never report."""
+        dispatch = trip.dispatch
+        dispatch.stop = dispatch.rerank = None
+        if not trip.begun:
+            trip.drop(trip.code)
+            self._done(trip, names.UNSENT)
+        elif dispatch.batch.keyed or (outcome != names.TIMED_OUT and self._must_be_over(dispatch)) \
+                or outcome == names.CANCELLED:
+            gevent.spawn(self._see_out, trip, outcome)
+        else:
+            trip.drop(trip.code)
+            self._done(trip, outcome)
+            if outcome == names.TIMED_OUT:
+                self._give_up(dispatch)
+
+    def _must_be_over(self, dispatch: Dispatch) -> bool:
+        """Whether two at once are forbidden: of a key always, of a batch where copies are."""
+        return dispatch.batch.keyed or not self.copies_allowed
 
     def _see_out(self, trip: "Trip", outcome: str) -> None:
-        """Against two dispatches at once, of a batch or of its key: the outcome waits until the engine has
-        heard that the query is given up or, unasked for so long, has ended it by itself. With a key this may
-        outlast the batch, which the module ends in time; without, the missing outcome would hold up its end.
-        In a greenlet of its own: one that is called back meanwhile would never report."""
-        dispatch, keyed = trip.dispatch, trip.dispatch.batch.keyed
-        forgotten_us = self.clock() + warehouse.FORGOTTEN_US
-        with gevent.Timeout(None if keyed else self._left_s(dispatch), False):
-            told = any(self._give_up(dispatch) for _ in range(GIVE_UPS if keyed else 1))
-            if not told and (keyed or not self.copies_allowed):
-                gevent.sleep(max(0, forgotten_us - self.clock()) / 1e6)
+        """Against two dispatches at once, of a batch or of its key: the outcome waits for the proof that the
+        query is over. With a key this may outlast the batch, which the module ends in time; without, the
+        missing outcome would hold up its end."""
+        dispatch, sure = trip.dispatch, self._must_be_over(trip.dispatch)
+        with gevent.Timeout(None if dispatch.batch.keyed else self._left_s(dispatch), False):
+            if sure:
+                trip.settle()
+            trip.drop(trip.code)
+            while not self._give_up(dispatch) and sure and self.clock() < trip.forgotten_us:
+                gevent.sleep(PAUSE_S)
+        trip.drop(trip.code)
         self._done(trip, outcome)
 
     def _left_s(self, dispatch: Dispatch) -> float:
@@ -147,7 +164,7 @@
         except (Lost, TimeUp):
             return False
         finally:
-            trip.drop("unanswered")
+            trip.drop(trip.code)
 
 
 class Trip:
@@ -157,6 +174,8 @@
     def __init__(self, dispatch: Dispatch, pools: Pools) -> None:
         self.dispatch, self.pools, self.begun = dispatch, pools, False
         self.line: Line | None = None
+        self.code = "unanswered"  # why its connection is dropped in the end
+        self.forgotten_us = 0  # when the engine has ended it by itself, if it hears of it no more
         self.patience_s = pools.dial_s + warehouse.NEWS_US / 1e6
 
     def start(self, request: bytes) -> tuple[int, Answer]:
@@ -172,6 +191,13 @@
             raise Lost("start")
         return pages, answer
 
+    def settle(self) -> None:
+        """Waits for the answer to a call that is out: a give-up on another connection could overtake the
+        start it is to end. One that is torn brings nothing more; one that stays silent is torn by us."""
+        if self.line is not None and self.line.due:
+            with contextlib.suppress(Lost), gevent.Timeout(self.patience_s, False):
+                self.line.answer()
+
     def news(self) -> tuple[int, Answer]:
         return self._ask(0, warehouse.news)
 
@@ -196,6 +222,7 @@
     def _once(self, request: bytes, check: Callable[..., int]) -> tuple[int, Answer]:
         """One call, and its answer with what the check found in it. A connection that brought more than the
         answer is not used again."""
+        self.forgotten_us = self.pools.clock() + warehouse.NEWS_US + warehouse.FORGOTTEN_US
         answer = self.line.call(request, self.patience_s)
         try:
             found = check(*answer)
--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -1,5 +1,6 @@
 """One connection to an engine: blocking calls, one at a time."""
 
+import struct
 from collections.abc import Callable
 
 from gevent import socket
@@ -8,6 +9,9 @@
 from pathturn.memory.roster import Place
 from pathturn.wire.http import Answers, Unreadable
 
+# Closes at once, with nothing that still waits in the system sent on.
+TORN = struct.pack("ii", 1, 0)
+
 
 class Unreachable(Exception):
     """No connection came up, which proves that nothing ran; refused, that no process is there."""
@@ -30,7 +34,7 @@
         _, address = self.place = place
         self.host = f"{address[0]}:{address[1]}"
         self.buffers, self.log, self.answers, self.calls = buffers, log, Answers(), 0
-        self.idle_us = 0
+        self.idle_us, self.due = 0, False
         self.socket = socket.socket()
         try:
             # By the address alone: create_connection would have a thread resolve it, at three times the cost.
@@ -46,15 +50,21 @@
 
     def call(self, request: bytes, patience_s: float) -> tuple[int, dict[str, str], bytes]:
         self.calls += 1
+        self.due = True
         self.socket.settimeout(patience_s)
         try:
             self.socket.sendall(request)
         except OSError as fault:
             raise Unsent(type(fault).__name__) from fault
+        return self.answer()
+
+    def answer(self) -> tuple[int, dict[str, str], bytes]:
+        """The answer that is due, or what is still missing of it."""
         try:
             with self.buffers.lent() as buffer:
                 while not self.answers.feed(self._receive(buffer)):
                     pass
+            self.due = False
             return self.answers.take()
         except OSError as fault:
             raise Lost(type(fault).__name__) from fault
@@ -85,5 +95,9 @@
         return False
 
     def close(self, code: str) -> None:
+        """With a call unanswered nothing of it may still come to the engine: behind a cut the system would
+        keep it, and a query could begin there long after it was given up."""
+        if self.due:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, TORN)
         self.socket.close()
         self.log(f"engine {self.host} calls={self.calls} code={code}")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -253,8 +253,10 @@
     def call(self, number, group, patience="1000", key=None, nonce=None):
         params = {"trace": f"{int(number):016x}", "patience": int(patience), "weight": 100, "est_mb": 1,
                   "data": b64encode(b"SELECT 1 FROM sales_3.orders").decode()}
+        if group in ("load", "book", "sum"):
+            params |= {"entity": key or f"k{number}"}
         if group == "load":
-            params |= {"entity": key or f"k{number}", "nonce": nonce or f"n{number}"}
+            params |= {"nonce": nonce or f"n{number}"}
         self.say(id=int(number), method=group, params=params)
 
     def calls(self, first, last, group):
@@ -292,6 +294,19 @@
     def hang_up(self):
         self.client.shutdown(socket.SHUT_RDWR)
 
+    def cut(self, name):
+        self.straits[name].cut()
+
+    def mend(self, name):
+        self.straits[name].mend()
+
+    def apart(self, *groups):
+        """No two queries of these groups ran at once at any engine; a scenario gives them one key."""
+        runs = sorted(run[1:] + [run[0], name] for name, engine in self.engines.items()
+                      for run in engine.runs.values() if run[0] in groups)
+        for before, after in zip(runs, runs[1:]):
+            assert before[1] <= after[0], f"{before[2:]} ran until {before[1]}, {after[2:]} from {after[0]}"
+
     def stale_list(self, serial):
         self.serial = int(serial)
 
