An error after a lost call rests the key: the engine may only not know the query any more

By the protocol 500 also means that the engine no longer knows the query; wire/engines.py took it for an end wherever it came, except behind a lost start, and the module lets a key go on at once after an error. An engine that ends a query unasked, or comes back as a new process, so opened the key with no rest. Ruled out: a start lost and asked for, which was seen out before.

Change: once a call of a dispatch was lost, 500 to its news is Lost("unknown"): given up, then reported as a reset.

--- a/pathturn/standins/engines.py
+++ b/pathturn/standins/engines.py
@@ -105,6 +105,15 @@
             return self.send(link, {**SPOILT, **MORE}[value])
         if kind in ("hang", "mute"):
             gevent.sleep(30)
+        elif kind == "forgets":  # as where its process was started anew
+            gevent.sleep(0.05)
+            self.queries[ticket] = ("forgotten", since)
+            return self.answer(link, 202)
+        elif kind == "forgotten":
+            del self.queries[ticket]
+            self.over(ticket)
+            link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            return link.close()
         elif kind in ("runs", "notes"):
             gevent.sleep(0.05)
             if (monotonic() - since) * 1000 < int(value):
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -172,24 +172,20 @@
     its result: where an answer was lost, late or spoilt it is asked for again on a new one, not run again."""
 
     def __init__(self, dispatch: Dispatch, pools: Pools) -> None:
-        self.dispatch, self.pools, self.begun = dispatch, pools, False
+        self.dispatch, self.pools, self.begun, self.torn = dispatch, pools, False, False
         self.line: Line | None = None
         self.code = "unanswered"  # why its connection is dropped in the end
         self.forgotten_us = 0  # when the engine has ended it by itself, if it hears of it no more
         self.patience_s = pools.dial_s + warehouse.NEWS_US / 1e6
 
     def start(self, request: bytes) -> tuple[int, Answer]:
-        """An engine that knows nothing of a query whose start was lost has not proven that it never ran."""
         try:
             return self._once(request, warehouse.news)
         except Unsent:
             raise  # it never went out whole: there is no news to ask for
         except Lost as fault:
-            self.drop(f"lost_{fault}")
-        pages, answer = self.news()
-        if answer[0] == 500:
-            raise Lost("start")
-        return pages, answer
+            self._lose(fault)
+        return self.news()
 
     def settle(self) -> None:
         """Waits for the answer to a call that is out: a give-up on another connection could overtake the
@@ -199,7 +195,12 @@
                 self.line.answer()
 
     def news(self) -> tuple[int, Answer]:
-        return self._ask(0, warehouse.news)
+        """After a lost call an error may also mean that the engine knows nothing of the query: its start may
+        still be on its way, or it ended unasked or with its process. That proves neither when nor whether."""
+        pages, answer = self._ask(0, warehouse.news)
+        if self.torn and answer[0] == 500:
+            raise Lost("unknown")
+        return pages, answer
 
     def page(self, number: int) -> bytes | None:
         there, answer = self._ask(number, partial(warehouse.further, number))
@@ -216,7 +217,7 @@
             except Unreachable as fault:
                 raise Lost("engine_down") from fault
             except Lost as fault:
-                self.drop(f"lost_{fault}")
+                self._lose(fault)
         raise Lost("tries")
 
     def _once(self, request: bytes, check: Callable[..., int]) -> tuple[int, Answer]:
@@ -232,6 +233,10 @@
             self.drop("engine_closes")
         return found, answer
 
+    def _lose(self, fault: Lost) -> None:
+        self.torn = True
+        self.drop(f"lost_{fault}")
+
     def end(self) -> None:
         if self.line is not None:
             self.pools.give_back(self.line)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -307,6 +307,12 @@
         for before, after in zip(runs, runs[1:]):
             assert before[1] <= after[0], f"{before[2:]} ran until {before[1]}, {after[2:]} from {after[0]}"
 
+    def rested(self, group, milliseconds):
+        """That long between the end of that group's first query and the beginning of its last."""
+        runs = sorted(run[1:] for engine in self.engines.values() for run in engine.runs.values()
+                      if run[0] == group)
+        assert runs[-1][0] - runs[0][1] >= int(milliseconds) / 1000, f"rested {runs[-1][0] - runs[0][1]}"
+
     def stale_list(self, serial):
         self.serial = int(serial)
 
