--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -59,7 +59,7 @@
         self.facade.listing(names.CACHED, rows)
         self.names = directory.address(told["names"])
         self.lookup = Lookup(self.facade, settings.get("discovery") == "ask", serial,
-                             lambda: self.pools.keep_only(self.facade.roster.places))
+                             lambda: self.pools.keep_only(self.facade.roster.places), self.log)
         self.operator: Operator | None = None
         if installation is not None:
             from pathturn.process import operator  # what is not enabled is not imported
--- a/pathturn/wire/lookup.py
+++ b/pathturn/wire/lookup.py
@@ -9,14 +9,17 @@
 from pathturn.memory.facade import Facade
 from pathturn.wire import directory
 
-LARGEST = 8192  # the protocol's answers hold up to 8,000 bytes
+# All that a datagram can hold: an engine takes some 90 to 110 bytes, so that the protocol's 8,000 hold about
+# 80 engines at most; of a list that is cut short nothing is heard, drains neither.
+LARGEST = 65_535
 # Well under the time after which the directory counts a change as told; an answer is small beside this.
 EVERY_S, PATIENCE_S = 0.25, 0.5
 
 
 class Lookup:
-    def __init__(self, facade: Facade, asks: bool, last: int, changed: Callable[[], None]) -> None:
-        self.facade, self.asks, self.changed = facade, asks, changed
+    def __init__(self, facade: Facade, asks: bool, last: int, changed: Callable[[], None],
+                 log: Callable[[str], None]) -> None:
+        self.facade, self.asks, self.changed, self.log = facade, asks, changed, log
         self.last, self.number, self.raw = last, 0, b""
         self.following: gevent.Greenlet | None = None
 
@@ -55,12 +58,13 @@
         if packet[2:] == self.raw and packet[:2] == self.number.to_bytes(2, "big"):
             return True
         try:
-            serial, rows = directory.answer(packet, self.number)
-        except directory.Unreadable:
+            # An older list would bring back engines that have begun to drain.
+            serial, rows = directory.answer(packet, self.number, self.last)
+        except directory.Unreadable as fault:
+            self.log(f"directory bytes={len(packet)} code=unreadable reason={fault}")
             return False
         self.raw = packet[2:]
-        # An older list would bring back engines that have begun to drain.
-        if serial > self.last:
+        if rows is not None:
             self.last = serial
             self.facade.listing(names.WHOLE, rows)
             self.changed()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,7 +1,9 @@
 """What is spoken, without sockets; and a gateway's whole life as a process."""
 
+import contextlib
 import os
 import signal
+import struct
 import subprocess
 import sys
 from contextlib import contextmanager
@@ -9,7 +11,10 @@
 import gevent
 import orjson
 import pytest
+from dnslib import QTYPE, DNSRecord
 from gevent import socket
+from hypothesis import given
+from hypothesis import strategies as st
 from typer.testing import CliRunner
 
 from pathturn.cli import app
@@ -148,6 +153,82 @@
         directory.answer(packet, 1)
 
 
+def packed(count: int, *, serial: int = 9, texts: dict[int, list[bytes]] | None = None) -> bytes:
+    """A list of so many engines, the names as short as DNS allows."""
+    def record(name: bytes, sort: int, data: bytes) -> bytes:
+        return name + struct.pack("!HHIH", sort, 1, 5, len(data)) + data
+
+    out = bytearray(struct.pack("!6H", 1, 0x8180, 1, count, 1, 2 * count) + directory.QUESTION)
+    zone, labels = len(out) + 18 + 9, []
+    for number in range(count):
+        labels.append(b"\x08s-%06x" % number)
+        out += record(b"\xc0\x0c", 33, struct.pack("!3H", number % 2, 40, 8443) + labels[-1] + (
+            struct.pack("!H", 0xC000 | zone) if number else b"\x04East\x05hosts\0"))
+    out += record(b"\0", 6, b"\0\0" + struct.pack("!5I", serial, 1, 1, 1, 1))
+    for number, label in enumerate(labels):
+        name = label.upper() + struct.pack("!H", 0xC000 | zone)  # DNS does not tell apart large from small
+        told = (texts or {}).get(number, [b"kind=std", b"cell=2", b"started=5"])
+        out += record(name, 1, bytes([127, 9, number >> 8, number & 255]))
+        out += record(name, 16, b"".join(bytes([len(each)]) + each for each in told))
+    return bytes(out)
+
+
+def test_a_list_of_hundreds_is_read_whole_and_only_when_it_is_newer() -> None:
+    serial, rows = directory.answer(packed(640), 1)
+    assert (serial, len(rows), len(packed(640)) <= 65_507) == (9, 640, True)
+    assert rows[513] == ("s-000201", ("127.9.2.1", 8443), "East", "std", 2, names.DRAINING, 4.0, 5)
+    assert directory.answer(packed(640), 1, last=9) == (9, None)
+
+
+def test_own_reader_finds_what_a_dns_library_finds() -> None:
+    record = DNSRecord.parse(directory.question(1))
+    assert (str(record.q.qname), record.q.qtype) == (directory.NAME + ".", QTYPE.SRV)
+    reply = DNSRecord.parse(packed(40))
+    _, rows = directory.answer(packed(40), 1)
+    assert [row[1][0] for row in rows] == [str(each.rdata) for each in reply.ar if each.rtype == QTYPE.A]
+    assert [row[0] for row in rows] == [str(each.rdata.target).split(".")[0] for each in reply.rr]
+
+
+@given(place=st.integers(2, 4000), byte=st.integers(0, 255), cut=st.integers(0, 4000))
+def test_no_spoilt_answer_does_more_than_be_refused(place: int, byte: int, cut: int) -> None:
+    packet = bytearray(packed(40))
+    packet[place % len(packet)] = byte
+    for each in (bytes(packet), packed(40)[:cut]):
+        with contextlib.suppress(directory.Unreadable):
+            directory.answer(each, 1)
+    if cut < len(packed(40)):
+        with pytest.raises(directory.Unreadable):
+            directory.answer(packed(40)[:cut], 1)
+
+
+@pytest.mark.parametrize("told", [[], [b"cell=2"], [b"kind=std", b"cell=x"], [b"kind=std", b"cell=-1"],
+                                  [b"kind=std", b"started=99999999999999999999"]])
+def test_one_engine_told_badly_spoils_the_list(told: list[bytes]) -> None:
+    with pytest.raises(directory.Unreadable):
+        directory.answer(packed(3, texts={1: told}), 1)
+
+
+def test_pointers_that_lead_on_and_on_are_refused() -> None:
+    chain = b"".join(struct.pack("!H", 0xC000 | 12 + 2 * max(0, each - 1)) for each in range(6000))
+    head = struct.pack("!6H", 1, 0x8180, 0, 1, 0, 0)
+    with pytest.raises(directory.Unreadable):
+        directory.answer(head + struct.pack("!HHHIH", 0xC00C, 33, 1, 5, len(chain)) + chain, 1)
+
+
+def test_a_gateway_takes_a_list_of_hundreds_and_tells_of_one_it_cannot_read(rig, monkeypatch, capfd) -> None:
+    rig.engine("e")
+    answers = [packed(600, serial=2, texts={7: []}), packed(600, serial=2)]
+    monkeypatch.setattr(rig, "directory", lambda packet, peer: rig.names.sendto(
+        packet[:2] + (answers.pop(0) if len(answers) > 1 else answers[0])[2:], peer))
+    rig.start()
+    for _ in range(300):
+        if len(rig.gateway.facade.roster.ready) == 300:
+            break
+        gevent.sleep(0.01)
+    assert len(rig.gateway.facade.roster.place) == 600
+    assert "code=unreadable reason=KeyError" in capfd.readouterr().err
+
+
 def test_log_counts_what_it_leaves_out(capsys, monkeypatch) -> None:
     log, now = Log("n0"), [100.0]
     monkeypatch.setattr("pathturn.process.log.time.time", lambda: now[0])
