Ring moves beside the module; generated streams hold the module's order per key

Order per key was only played by single scenarios.

Change: pathturn/structures/ring.py; tests/test_order.py plays 300 generated streams of takes, all outcomes, aborts, unsure batches, changes of the list and stops against the module alone: never two of a key out, never out of the order taken, never inside the rest, everything ended in the end.

No decision has changed.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -10,6 +10,7 @@
 from zlib import crc32
 
 from pathturn.core import interface as names
+from pathturn.structures.ring import Ring
 
 PERIOD_US, SMOOTH_US, TICK_US = 1_000_000, 3_000_000, 25_000  # the first two as the design starts
 SLICE = 0.1  # of the way from the even start to what reports suggest, a step of the solver
@@ -25,27 +26,6 @@
 SKIPS = 24  # held batches looked past in a round: bounds the work when the first ones have nowhere to go
 
 
-class Ring:
-    """Sums over fixed buckets of time: all of them cover the span, all but the oldest lie within it."""
-
-    def __init__(self, span_us: int, buckets: int, fields: int = 1) -> None:
-        self.width, self.buckets = max(1, -(-span_us // buckets)), buckets
-        self.epochs = [-1] * (buckets + 1)
-        self.rows = [[0.0] * fields for _ in self.epochs]
-
-    def add(self, now: int, *values: float) -> None:
-        epoch = now // self.width
-        slot = epoch % len(self.epochs)
-        if self.epochs[slot] != epoch:
-            self.epochs[slot], self.rows[slot] = epoch, [0.0] * len(values)
-        self.rows[slot] = [have + value for have, value in zip(self.rows[slot], values)]
-
-    def sums(self, now: int, within: bool = False) -> list[float]:
-        oldest = now // self.width - self.buckets + within
-        rows = [row for epoch, row in zip(self.epochs, self.rows) if epoch >= oldest]
-        return [sum(column) for column in zip(*rows or [[0.0] * len(self.rows[0])])]
-
-
 class Learned:
     def __init__(self, group: names.ServiceGroup, pages: bool) -> None:
         self.group, self.usual = group, float(group.goal_us) * group.threads / 2
--- a/pathturn/routing/limits.py
+++ b/pathturn/routing/limits.py
@@ -6,7 +6,7 @@
 """
 
 from pathturn.config.document import Limit
-from pathturn.core.choice import Ring
+from pathturn.structures.ring import Ring
 
 SPAN_US = 10_000_000  # over which the share of further dispatches is taken
 FREE = 1  # further dispatches in a span, whatever was taken: without one the first error would end its batch
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from time import monotonic
 
 import gevent
+import hypothesis
 import orjson
 import pytest
 from gevent import socket
@@ -24,6 +25,9 @@
 from pathturn.routing.table import Course
 from pathturn.standins.farm import Farm, spare_address
 
+# Generated cases are the same each time, so that a verdict is.
+hypothesis.settings.register_profile("same", derandomize=True, database=None, deadline=None)
+hypothesis.settings.load_profile("same")
 SECOND = 1_000_000
 KINDS = {"repeatable": names.REPEATABLE, "referenced": names.REFERENCED, "once": names.ONCE_ONLY}
 
--- /dev/null
+++ b/tests/test_order.py
@@ -0,0 +1,104 @@
+"""The decision module alone on generated streams of events: the order of a key, whatever comes back."""
+
+from conftest import Stage
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pathturn.core import interface as names
+
+REST_US, KEYS, KINDS = 300_000, ("k", "l"), ("referenced", "once", "repeatable")
+ENDS = (names.RETURNED, names.ERRORED, names.FULL, names.TIMED_OUT, names.UNREACHABLE, names.RESET,
+        names.CANCELLED, names.UNSENT)
+STEPS = st.one_of(
+    st.tuples(st.just("take"), st.integers(0, 2), st.sampled_from(KEYS), st.integers(100, 4000)),
+    st.tuples(st.just("end"), st.integers(0, 9), st.sampled_from(ENDS)),
+    st.tuples(st.just("leave"), st.integers(0, 40)),
+    st.tuples(st.just("unsure"), st.integers(0, 40)),
+    st.tuples(st.just("engine"), st.integers(0, 3), st.integers(0, 2)),
+    st.tuples(st.just("wait"), st.integers(1, 700)),
+    st.tuples(st.just("stop")))
+
+
+class Judge(Stage):
+    """Holds every dispatch against the rule: in the order taken, one at a time, and after the rest."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.settings |= {"key_rest_us": REST_US, "may_cancel": True, "note_us": 500_000}
+        self.keys, self.over, self.rests, self.kinds = [], set(), {}, []
+        for kind in KINDS:
+            self.group(kind, in_order=1, repeat_span_us=9_000_000)
+        for index in range(4):
+            self.engine(index)
+
+    def dispatch(self, batch, engine, limit_us):
+        key = self.keys[batch]
+        earlier = [each for each in range(batch) if self.keys[each] == key]
+        assert batch not in self.over, "sent after its end"
+        assert all(each in self.over for each in earlier), "an earlier one of its key is not over"
+        assert not any(self.keys[each] == key for each, _ in self.flying), "one of its key is out"
+        if self.sent.get(batch) is None:
+            assert self.now >= self.rests.get(key, 0), "within the rest"
+        super().dispatch(batch, engine, limit_us)
+
+    def push_back(self, batch, retry_us):
+        self.over.add(batch)
+
+    def error(self, batch):
+        self.over.add(batch)
+
+    def take(self, group, key, left):
+        self.keys.append(key)
+        self.batch(f"b{len(self.keys)}", str(group), key, left=str(left))
+
+    def end(self, which, outcome):
+        if not self.flying:
+            return
+        batch, number = sorted(self.flying)[which % len(self.flying)]
+        engine = self.flying.pop((batch, number))
+        if outcome in (names.TIMED_OUT, names.RESET, names.CANCELLED):
+            self.rests[self.keys[batch]] = self.now + REST_US
+        done = batch in self.over or outcome == names.RETURNED
+        if outcome == names.RETURNED:
+            self.over.add(batch)
+        self.round(("answer", batch, number, engine, outcome, 50_000, done, 0, 0, None))
+
+    def leave(self, which):
+        self._without_answer("withdrawn", which)
+
+    def unsure(self, which):
+        if self.keys and not self.sent.get(which % len(self.keys), -1) >= 0:
+            self.round(("unsure", which % len(self.keys)))
+
+    def _without_answer(self, event, which):
+        if self.keys:
+            self.over.add(which % len(self.keys))
+            self.round((event, which % len(self.keys)))
+
+    def engine(self, index, state=0):
+        super().engine(index, state=str(state))
+
+    def wait(self, milliseconds):
+        for _ in range(-(-milliseconds // 25)):
+            self.now += 25_000
+            self.round()
+
+    def stop(self):
+        self.round(("stop",))
+
+
+@settings(max_examples=300)
+@given(st.lists(STEPS, max_size=60))
+def test_a_key_keeps_its_order_whatever_becomes_of_its_dispatches(steps) -> None:
+    judge = Judge()
+    for word, *values in steps:
+        getattr(judge, word)(*values)
+    # Once all that is out has come back and time has run on, nothing is left and every batch has its end.
+    while judge.flying:
+        judge.end(0, names.ERRORED)
+    for _ in range(12):
+        judge.wait(500)
+        while judge.flying:
+            judge.end(0, names.RETURNED)
+    assert judge.over == set(range(len(judge.keys)))
+    assert not judge.gateway.keys.lines and not judge.gateway.batches
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -7,7 +7,8 @@
 
 from pathturn.adapter.codec import serve
 from pathturn.core import interface as names
-from pathturn.core.choice import Batch, Engine, Learned, Ring, fit, solve
+from pathturn.core.choice import Batch, Engine, Learned, fit, solve
+from pathturn.structures.ring import Ring
 
 
 def test_ring_reuses_its_buckets_and_brackets_the_span() -> None:
