A key stays shut until the end of a query is proven; its batch goes on at once

Ruled out: a second dispatch still out (it had returned), the list, a standstill.

Change: nothing but an answered give-up, a refused connection, or the list no longer naming the engine proves the end. The outcome is reported at once (facade `unproven`, then `proven`), so the batch itself goes on elsewhere or is answered without waiting; the key stays shut (`KeyLines.doubts`) and then rests. Where the settings forbid copies the outcome waits as before.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -1,10 +1,9 @@
 """All decisions of one gateway. Build a Gateway from its settings, then call round(now_us, events, writer)
 once a round with all that came in; decisions go straight into the writer. Events, the writer's protocol and
-shared names: pathturn/core/interface.py. Times are whole microseconds, work is one thread's time.
-"""
+shared names: pathturn/core/interface.py. Times are whole microseconds, work is one thread's time."""
 
 import heapq
-from collections import defaultdict, deque, namedtuple
+from collections import Counter, defaultdict, deque, namedtuple
 from itertools import count
 from math import exp, inf
 from zlib import crc32
@@ -42,8 +41,7 @@
         elif batch.hint:
             # Without a told cost the median latency stands for the work: means follow bad plans and crowds.
             self.bias *= exp(rate * (-0.5 if latency * threads / batch.hint < self.bias else 0.5))
-        # Settles where the wanted share of dispatches spills, known even where no need is told: few where
-        # engines page, as a grant beyond the need takes nothing from others there.
+        # Settles where the wanted share of dispatches spills: few where engines page and a surplus is free.
         self.grant = min(8.0, max(0.3, self.grant * (1 + rate * (batch.spilt - self.spills))))
         stretch = min(10.0, latency * threads / max(1.0, work_us or batch.work))
         self.pace += 0.05 * (max(1.0, stretch) - self.pace)
@@ -58,9 +56,9 @@
         self.solo = self.work / self.group.threads
         # Counted from this try: a short time left may be a late try, but also a client that waits less.
         self.goal = now + self.group.goal_us + int(self.group.goal_stretch * self.solo)
-        self.sends, self.kills, self.tried, self.over, self.small, self.out = 0, 0, set(), False, False, {}
-        self.ran_since, self.ran_at, self.key, self.data_set, self.spilt = None, None, None, None, False
-        self.course, self.pool = None, None
+        self.sends, self.kills, self.tried, self.out = 0, 0, set(), {}
+        self.over = self.small = self.spilt = False
+        self.ran_since = self.ran_at = self.key = self.data_set = self.course = self.pool = None
 
     def may_resend(self, now: int) -> bool:
         return self.ran_since is None or self.group.kind == names.REPEATABLE or (
@@ -79,8 +77,8 @@
                 or (self.course is not None and not self.course.reaches(engine.index))):
             return False
         anywhere = first is None or group.kind == names.REPEATABLE or group.repeat_scope == "all"
-        return anywhere or (
-            engine.zone == first.zone if group.repeat_scope == "zone" else engine.cell == first.cell)
+        return anywhere or (engine.zone == first.zone if group.repeat_scope == "zone" else
+                            engine.cell == first.cell)
 
 
 class Window:
@@ -156,16 +154,18 @@
 
 
 class KeyLines:
-    """Batches of one key, in the order taken; a key rests after a dispatch that may still be running."""
+    """Batches of one key, in the order taken; a key rests after a dispatch that may still be running, and is
+    shut while a front holds one not proven over. Own further dispatches go out all the same."""
 
     def __init__(self, rest_us: int) -> None:
-        self.rest_us, self.resting, self.lines = rest_us, {}, {}
+        self.rest_us, self.resting, self.lines, self.doubts = rest_us, {}, {}, Counter()
 
     def open_at(self, batch: Batch) -> int | None:
-        """When the key lets it go first; None while earlier ones stand before it."""
+        """When the key lets it go first; None while earlier ones or a doubt stand before it."""
         if batch.key is None or batch.sends:
             return 0
-        return self.resting.get(batch.key, 0) if self.lines[batch.key][0] is batch else None
+        first = self.lines[batch.key][0] is batch and not self.doubts[batch.key]
+        return self.resting.get(batch.key, 0) if first else None
 
     def leave(self, batch: Batch) -> Batch | None:
         line = self.lines[batch.key]
@@ -177,8 +177,7 @@
 
 def fit(own: list[float], pooled: list[float]) -> tuple[float, float]:
     """Intercept and slope; few samples lean on the pooled ones, and load never helps latency."""
-    lean = 5 / max(5.0, pooled[0])
-    n, x, y, xx, xy = (each + lean * every for each, every in zip(own, pooled))
+    n, x, y, xx, xy = (each + 5 / max(5.0, pooled[0]) * every for each, every in zip(own, pooled))
     if n < 1:
         return 1.0, 0.0
     spread = xx - x * x / n
@@ -252,8 +251,7 @@
         self._sleep()
 
     def _owe(self, width: float) -> None:
-        """One large batch may be more than this gateway's part of the fleet: what it has out over its window
-        adds up to a debt, and none follows until that is paid off. Harm: engines idle while it waits."""
+        """What one large batch has out over the window is a debt: none follows until that is paid off."""
         over = sum(self.threads) / self.engine_threads - width
         self.debt = min(DEBT_US * width, max(0.0, self.debt + over * (self.now - self.debt_at)))
         self.debt_at = self.now
@@ -320,8 +318,7 @@
             self._give_up(batch, pause)
 
     def moved(self, index, course) -> None:
-        """After an undo: what has been sent nowhere goes by the old course, and what has stays as it
-        began."""
+        """After an undo what has been sent nowhere goes by the old course; the rest stays as it began."""
         if (batch := self.batches.get(index)) is not None and not batch.sends and not batch.over:
             self._follow(batch, course, False)
             self._review(batch)
@@ -377,6 +374,15 @@
         if index in self.batches:  # sent out of its key's order it could not be taken back; now it still can
             self._give_up(self.batches[index])
 
+    def unproven(self, key) -> None:
+        self.keys.doubts[key] += 1
+
+    def proven(self, key) -> None:
+        self.keys.doubts -= Counter((key,))  # keeps what is above none
+        self.keys.resting[key] = self.now + self.keys.rest_us
+        if key in self.keys.lines:
+            self._review(self.keys.lines[key][0])
+
     def withdrawn(self, index) -> None:
         if index in self.batches:
             self._close(self.batches[index])
--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -20,12 +20,12 @@
 class Batch:
     """What the gateway itself needs of an open batch; what decides on it lies in the module."""
 
-    __slots__ = ("index", "ticket", "group", "nonce", "keyed", "statement", "until_us", "steps", "over",
+    __slots__ = ("index", "ticket", "group", "nonce", "key", "statement", "until_us", "steps", "over",
                  "sent", "out", "priority", "grant_mb", "told", "course", "taken_us", "goal_us", "watch")
 
-    def __init__(self, index: int, ticket: str, group: str, nonce: str | None, keyed: bool, statement: bytes,
-                 until_us: int) -> None:
-        self.index, self.ticket, self.group, self.nonce, self.keyed = index, ticket, group, nonce, keyed
+    def __init__(self, index: int, ticket: str, group: str, nonce: str | None, key: str | None,
+                 statement: bytes, until_us: int) -> None:
+        self.index, self.ticket, self.group, self.nonce, self.key = index, ticket, group, nonce, key
         self.statement, self.until_us = statement, until_us
         self.steps: SimpleQueue = SimpleQueue()
         self.over, self.sent, self.priority, self.grant_mb = False, 0, 1, 0.0
@@ -70,9 +70,9 @@
     def __init__(self) -> None:
         self.numbers, self.by_index, self.tickets = count(), {}, set()
 
-    def open(self, ticket: str, group: str, nonce: str | None, keyed: bool, statement: bytes,
+    def open(self, ticket: str, group: str, nonce: str | None, key: str | None, statement: bytes,
              until_us: int) -> Batch:
-        batch = Batch(next(self.numbers), ticket, group, nonce, keyed, statement, until_us)
+        batch = Batch(next(self.numbers), ticket, group, nonce, key, statement, until_us)
         self.by_index[batch.index] = batch
         self.tickets.add(ticket)
         return batch
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from math import inf
 from typing import TYPE_CHECKING, Any
 
@@ -58,7 +59,7 @@
              key: str | None, customer: str | None, work_us: int, memory_mb: float, data_set: int,
              repeat: bool, statement: bytes) -> Batch:
         until_us = self.clock() + left_us
-        batch = self.batches.open(ticket, group, nonce, key is not None, statement, until_us)
+        batch = self.batches.open(ticket, group, nonce, key, statement, until_us)
         if self.router is not None:
             batch.told = self.traits(group, customer, key, data_set, ticket)
             batch.course, batch.taken_us = self.router.course(batch.told), self.clock()
@@ -127,6 +128,15 @@
                    memory_mb if told else 0, meter)
         self.batches.settle(batch)
 
+    def unproven(self, dispatch: Dispatch) -> Callable[[], None]:
+        """Told before its outcome: its query may go on, and the key waits. Returns what tells of its end."""
+        self._tell("unproven", dispatch.batch.key)
+        return partial(self._tell, "proven", dispatch.batch.key)
+
+    def named(self, dispatch: Dispatch) -> bool:
+        """Whether the list still names the engine."""
+        return dispatch.engine in self.roster.place
+
     # For the list's side.
     def listing(self, form: int, told: list[tuple]) -> None:
         """The whole list, or that it could not be had."""
--- a/pathturn/standins/strait.py
+++ b/pathturn/standins/strait.py
@@ -28,7 +28,7 @@
 
     def carry(self, link: socket.socket, peer: Any) -> None:
         self.whole.wait()
-        if torn(link):
+        if link.closed or torn(link):
             return
         with socket.create_connection(self.behind) as beyond:
             back = gevent.spawn(self.pump, beyond, link)
@@ -38,13 +38,13 @@
     def pump(self, source: socket.socket, sink: socket.socket) -> None:
         try:
             while True:
-                gevent.socket.wait_read(source.fileno())
+                socket.wait_read(source.fileno())
                 self.whole.wait()
                 if torn(source) or not (piece := source.recv(65_536)):
                     break
                 sink.sendall(piece)
             sink.shutdown(socket.SHUT_WR)
-        except OSError:
+        except (OSError, ValueError):  # closed meanwhile
             sink.close()
 
 
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -17,6 +17,7 @@
 Answer = tuple[int, dict[str, str], bytes]
 # A spoilt answer comes whole when asked for again; an engine that fails so often in a row has lost it.
 TRIES, PAUSE_S = 6, 0.01
+ASK_AGAIN_S = 0.1  # between give-ups that nobody answers: a key waits for one, but each costs a dial
 
 
 class CalledBack(gevent.GreenletExit):
@@ -66,40 +67,43 @@
             self._part(trip, names.CANCELLED)
 
     def _part(self, trip: "Trip", outcome: str) -> None:
-        """Ends a dispatch whose query may still run. In a greenlet of its own where that takes a while: one
+        """Ends a dispatch whose query may still run. What waits for the proof is a greenlet of its own: one
         that is called back meanwhile would never report."""
         dispatch = trip.dispatch
         dispatch.stop = dispatch.rerank = None
         if not trip.begun:
             trip.drop(trip.code)
             self._done(trip, names.UNSENT)
-        elif dispatch.batch.keyed or (outcome != names.TIMED_OUT and self._must_be_over(dispatch)) \
-                or outcome == names.CANCELLED:
+        elif not self.copies_allowed and (dispatch.batch.key is not None or outcome != names.TIMED_OUT):
             gevent.spawn(self._see_out, trip, outcome)
         else:
-            trip.drop(trip.code)
+            told = self.facade.unproven(dispatch) if dispatch.batch.key is not None else None
             self._done(trip, outcome)
-            if outcome == names.TIMED_OUT:
-                self._give_up(dispatch)
-
-    def _must_be_over(self, dispatch: Dispatch) -> bool:
-        """Whether two at once are forbidden: of a key always, of a batch where copies are."""
-        return dispatch.batch.keyed or not self.copies_allowed
+            gevent.spawn(self._prove, trip, told)
 
     def _see_out(self, trip: "Trip", outcome: str) -> None:
-        """Against two dispatches at once, of a batch or of its key: the outcome waits for the proof that the
-        query is over. With a key this may outlast the batch, which the module ends in time; without, the
-        missing outcome would hold up its end."""
-        dispatch, sure = trip.dispatch, self._must_be_over(trip.dispatch)
-        with gevent.Timeout(None if dispatch.batch.keyed else self._left_s(dispatch), False):
-            if sure:
-                trip.settle()
-            trip.drop(trip.code)
-            while not self._give_up(dispatch) and sure and self.clock() < trip.forgotten_us:
-                gevent.sleep(PAUSE_S)
+        """Against two dispatches of a batch at once: the outcome waits until the query is over. With a key
+        it may outlast the batch, which the module ends in time; without, it would hold up its end."""
+        left_s = None if trip.dispatch.batch.key is not None else self._left_s(trip.dispatch)
+        with gevent.Timeout(left_s, False):
+            self._prove(trip, lambda: None)
         trip.drop(trip.code)
         self._done(trip, outcome)
 
+    def _prove(self, trip: "Trip", told: Callable[[], None] | None) -> None:
+        """Gives the query up; `told` is called once that is proven. Time alone proves nothing while the
+        engine is out of reach: there a query was seen to go on beyond the protocol's 2 s."""
+        dispatch = trip.dispatch
+        if told is not None:
+            trip.settle()
+        trip.drop(trip.code)
+        while not self._give_up(dispatch) and told is not None:
+            if not self.facade.named(dispatch) and self.clock() >= trip.forgotten_us:
+                break
+            gevent.sleep(ASK_AGAIN_S)
+        if told is not None:
+            told()
+
     def _left_s(self, dispatch: Dispatch) -> float:
         return max(0, dispatch.until_us - self.clock()) / 1e6
 
