Cold engines are used by turns however many gateways there are

Cause: core/choice.py, ColdGuard.allows. A gateway's part of a cold engine is 0.6 of the fall line by the number of gateways: 20 ms of work a window before eight cores at 200 gateways, with the settings' coldFrom 0.33, fallMultiple 3, fallUs 1 s. Turns pool the parts until a small batch fits, but there were never more turns than windows until the engine is warm (14), so a turn held 141 ms against 225 ms and more for the smallest batch: a cold engine got nothing at all for its whole warm-up, from any gateway. Harmless up to about 120 gateways; in the fleet every new engine idles for 9 to 14 s. Ruled out by the same test: the wait after a start, and rounding of turns.

Change: as many turns as make a small batch fit; those whose turn would come after the warm-up leave this engine to others, and the engine's start, which all hear alike, says who begins, so that it is not always the same ones. The bound on the sum is as before: any window touches two turns at half the budget each.

Measured, pure: tests/test_cold.py plays 1 to 1,024 gateways before one cold engine: without the change nothing is sent at 200, 230 and 1,024; with it 0.15 to 1 of the fall line is used and never passed.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -83,7 +83,6 @@
 
 class Window:
     """Own threads out at once, in parts of an engine: opens while it binds, closes while answers run long."""
-
     def __init__(self, width: float, narrowest: float, widest: float, now: int, weight: float = 1.0) -> None:
         self.width, self.narrowest, self.widest, self.weight = width, narrowest, widest, weight
         self.stretch, self.cut_at, self.pressed = 1.0, now, False
@@ -124,7 +123,6 @@
 
 class Budget:
     """Further dispatches: spent is counted too high, taken too low, by the oldest bucket each."""
-
     def __init__(self, free: float, share: float, span_us: int) -> None:
         self.free, self.share, self.taken, self.spent = free, share, Ring(span_us, 20), Ring(span_us, 20)
 
@@ -135,7 +133,8 @@
 class ColdGuard:
     """All gateways together must stay under the fall line, so each keeps to its part of the least capacity
     a cold engine may have. Where that is less than a small batch they take turns of a window each, told by
-    its start, at half the budget: any window touches two turns. A gateway waits out one window of its own."""
+    its start, at half the budget: any window touches two turns. More turns than windows until it is warm are
+    better than parts in which no batch fits. A gateway waits out one window of its own."""
 
     def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, number: int,
                  least_work: float) -> None:
@@ -145,8 +144,9 @@
     def allows(self, now: int, engine: Engine, work: float) -> bool:
         if now >= engine.cold_until or not self.part:
             return True
-        mine, turn = self.part * engine.cores, (now - engine.cold_until + self.cold_us) // self.fall_us
-        turns = max(1, min(self.cold_us // self.fall_us, int(2 * self.least_work / mine)))
+        mine, start = self.part * engine.cores, engine.cold_until - self.cold_us
+        turns = max(1, int(2 * self.least_work / mine))
+        turn = (now - start) // self.fall_us + start // 1_000  # others begin at the next engine
         engine.sent = engine.sent or Ring(self.fall_us, 10)
         work += engine.sent.sums(now)[0]
         ours = turn % turns == self.number % turns and now >= self.from_us
--- /dev/null
+++ b/tests/test_cold.py
@@ -0,0 +1,29 @@
+"""The cold guard of many gateways before one engine: it is used, and the sum stays under the fall line."""
+
+import pytest
+
+from pathturn.core.choice import REFERENCE_LOAD, ColdGuard, Engine
+
+SECOND = 1_000_000
+LEAST, COLD_US, MULTIPLE, FALL_US, CORES = 0.33, 14 * SECOND, 3.0, SECOND, 8
+
+
+@pytest.mark.parametrize("start", [5 * SECOND, 1_796_160_477_123_000])
+@pytest.mark.parametrize("gateways", [1, 3, 60, 200, 230, 1024])
+def test_a_cold_engine_is_used_by_all_sizes_of_fleet_and_not_pushed_over(gateways: int, start: int) -> None:
+    usual, sent, senders = 225_000, [], set()
+    crowd = [(ColdGuard(LEAST, COLD_US, MULTIPLE, FALL_US, gateways, number, 600_000), Engine(0, 1, 0, 0))
+             for number in range(gateways)]
+    for guard, engine in crowd:
+        guard.from_us, engine.cores, engine.cold_until = start + SECOND, CORES, start + COLD_US
+    for now in range(start, start + COLD_US, 50_000):
+        for number, (guard, engine) in enumerate(crowd):
+            while guard.allows(now, engine, usual):
+                engine.sent.add(now, usual)
+                sent.append(now)
+                senders.add(number)
+    line = MULTIPLE * LEAST * REFERENCE_LOAD * CORES * FALL_US
+    fullest = max(sum(usual for each in sent if now <= each < now + FALL_US) for now in set(sent))
+    assert 0.2 * line < fullest <= line
+    assert usual * len(sent) > 0.15 * line * COLD_US / FALL_US
+    assert len(senders) >= min(gateways, 10)
