Turns at a cold engine go by the start that the list tells, not by a failed dial

Cause: the turn was counted from the end of the time for which a gateway takes an engine for cold. A failed dial extends that by its own clock, so that after a cut gateways of a cold engine had turns of their own making, which may coincide: the sum of rule 4 was no longer bounded (pure test, 60 and 200 gateways with such times: over the fall line without the change).

Change: the list's start says whose turn it is wherever the list has told one.

Measured: tests/test_cold.py with dials that failed at unfortunate times fails at 60 and 200 gateways without the change.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -109,7 +109,8 @@
     def __init__(self, index: int, width: float, credit: float, now: int) -> None:
         self.index, self.credit, self.share, self.threads = index, credit, 0.0, 0
         self.window = Window(width, NARROWEST, WIDEST, now)
-        self.state, self.cold_until, self.load, self.load_at, self.reported = names.GONE, 0, 0.0, 0, False
+        self.state, self.started, self.cold_until = names.GONE, 0, 0
+        self.load, self.load_at, self.reported = 0.0, 0, False
         self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(3 * PERIOD_US, 6, 2)
         self.heard, self.shut_until, self.out, self.sent = now, 0, {}, None
         self.warm, self.held_sets = deque(maxlen=8), set()
@@ -135,7 +136,6 @@
     a cold engine may have. Where that is less than a small batch they take turns of a window each, told by
     its start, at half the budget: any window touches two turns. More turns than windows until it is warm are
     better than parts in which no batch fits. A gateway waits out one window of its own."""
-
     def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, number: int,
                  least_work: float) -> None:
         self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
@@ -144,7 +144,7 @@
     def allows(self, now: int, engine: Engine, work: float) -> bool:
         if now >= engine.cold_until or not self.part:
             return True
-        mine, start = self.part * engine.cores, engine.cold_until - self.cold_us
+        mine, start = self.part * engine.cores, engine.started or engine.cold_until - self.cold_us
         turns = max(1, int(2 * self.least_work / mine))
         turn = (now - start) // self.fall_us + start // 1_000  # others begin at the next engine
         engine.sent = engine.sent or Ring(self.fall_us, 10)
@@ -282,7 +282,7 @@
             engine = self.engines[index] = self.engines.get(index) or Engine(
                 index, 1.2 / self.gateways, self.chance(index), self.now)
             engine.zone, engine.machine, engine.cell, engine.state = zone, machine, cell, state
-            engine.cores = self.cores.get(machine) or size or 1
+            engine.cores, engine.started = self.cores.get(machine) or size or 1, started
             if started:
                 engine.cold_until = max(engine.cold_until, started + self.cold.cold_us)
         # Ids are new for ever: an engine that has gone must leave nothing behind.
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -14,8 +14,10 @@
     usual, sent, senders = 225_000, [], set()
     crowd = [(ColdGuard(LEAST, COLD_US, MULTIPLE, FALL_US, gateways, number, 600_000), Engine(0, 1, 0, 0))
              for number in range(gateways)]
-    for guard, engine in crowd:
-        guard.from_us, engine.cores, engine.cold_until = start + SECOND, CORES, start + COLD_US
+    for number, (guard, engine) in enumerate(crowd):
+        guard.from_us, engine.cores, engine.started = start + SECOND, CORES, start
+        # Each took it for cold anew when a dial failed, at times that would give 200 of them the same turn.
+        engine.cold_until = start + COLD_US + number * 44 % 59 * FALL_US
     for now in range(start, start + COLD_US, 50_000):
         for number, (guard, engine) in enumerate(crowd):
             while guard.allows(now, engine, usual):
