--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -134,8 +134,8 @@
 class ColdGuard:
     """All gateways together must stay under the fall line, so each keeps to its part of the least capacity
     a cold engine may have. Where that is less than a small batch they take turns of a window each, told by
-    its start, at half the budget: any window touches two turns. More turns than windows until it is warm are
-    better than parts in which no batch fits. A gateway waits out one window of its own."""
+    its start, at half the budget: any window touches two turns. A gateway waits out one window of its own."""
+
     def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, number: int,
                  least_work: float) -> None:
         self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
@@ -145,8 +145,8 @@
         if now >= engine.cold_until or not self.part:
             return True
         mine, start = self.part * engine.cores, engine.started or engine.cold_until - self.cold_us
-        turns = max(1, int(2 * self.least_work / mine))
-        turn = (now - start) // self.fall_us + start // 1_000  # others begin at the next engine
+        turns = max(1, min(self.cold_us // self.fall_us, int(2 * self.least_work / mine)))
+        turn = (now - start) // self.fall_us
         engine.sent = engine.sent or Ring(self.fall_us, 10)
         work += engine.sent.sums(now)[0]
         ours = turn % turns == self.number % turns and now >= self.from_us
