A stop ends every batch before the kill, and leaves nothing unread behind

Whatever has a longer time limit than 3 s is at stake, as the kill does not wait for it; `_finish` waited for all that was out, however long. By a standstill of the process (SIGSTOP over the 0.7 s): the timer that ends the waiting comes before the listener and the sockets are looked at, so the accept queue and unread batches were thrown away (`server.close()`, `while len(batches)`). Ruled out for these: the module's pushbacks (held batches are pushed back 0.7 s after SIGTERM, as before).

Change: the stop tells the module how long there is; what is out by then is ended (pushed back where harmless, else errored). What waits in the accept queue is taken before the listener closes. The process ends once no batch is open, no answer is being written and nothing of a usual client lies unread; then it ends its side of each connection and reads on to the client's end, since a close over unread bytes resets the connection and with it answers not read yet. A connection gives way or is closed as idle under the same condition.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -258,9 +258,11 @@
 
     def wake(self, tag: int) -> None: ...
 
-    def stop(self) -> None:
+    def stop(self, left_us: int) -> None:
         self.stopping = True  # what is not out yet has better chances elsewhere, and is told so at once
         for batch in list(self.batches.values()):
+            batch.last = min(batch.last, self.now + left_us)
+            heapq.heappush(self.later, (batch.last, next(self.counter), batch))
             self._review(batch)
 
     def _sleep(self) -> None:
@@ -389,9 +391,8 @@
 
     def _report(self, engine: Engine | None, report: list[float] | None) -> None:
         told = dict(zip(self.fields, (engine and report) or ()))
-        if self.load_field in told:
-            per = engine.cores if self.load_field == "held" else 1
-            engine.hear_load(self.now, told[self.load_field] / per)
+        if (load := told.get(self.load_field)) is not None:
+            engine.hear_load(self.now, load / (engine.cores if self.load_field == "held" else 1))
         if told.get("waiting", 0) > 0.5:
             engine.window.cut(self.now)
 
@@ -462,12 +463,11 @@
             engine.share = share
 
     def _hold(self, batch: Batch) -> None:
-        late = self.now + batch.solo > batch.goal
-        worth = (batch.group.late_utility if late else 1.0) * batch.group.utility / batch.work
+        late = batch.group.late_utility if self.now + batch.solo > batch.goal else 1.0
+        worth = late * batch.group.utility / batch.work
         if (opens := self.keys.open_at(batch)) is not None:
-            held = self.ready.setdefault(batch.pool, [])
-            queue, rank = (self.later, opens) if opens > self.now else (held, -worth)
-            heapq.heappush(queue, (rank, next(self.counter), batch))
+            held = self.later if opens > self.now else self.ready.setdefault(batch.pool, [])
+            heapq.heappush(held, (opens if opens > self.now else -worth, next(self.counter), batch))
 
     def _hopeless(self, batch: Batch) -> bool:
         """No use left in waiting: nothing to earn, no time, or no further dispatch allowed."""
@@ -477,8 +477,9 @@
         return soonest > last or spent or self.stopping
 
     def _review(self, batch: Batch) -> None:
-        # With a key it is ended while still out: its dispatch holds the key until it is surely over.
-        if not batch.over and (not batch.out or (batch.key is not None and self.now >= batch.last)):
+        # Ended while still out: with a key, which its dispatch holds until it is surely over, or at a stop.
+        late = self.now >= batch.last and (self.stopping or batch.key is not None)
+        if not batch.over and (late or not batch.out):
             (self._give_up if self._hopeless(batch) else self._hold)(batch)
 
     def _give_up(self, batch: Batch, pause: int = 0) -> None:
@@ -575,6 +576,5 @@
 
     def _priority(self, batch: Batch) -> int:
         """A load frees its data set; small batches take little from others and are late soonest."""
-        dearest = max(each.group.utility / each.usual for each in self.learned)
-        value = batch.group.utility / batch.work / dearest
-        return 3 if batch.group.holds_set or batch.small else 2 if value > 0.2 else 1 if value > 0.05 else 0
+        part = batch.group.utility / batch.work / max(one.group.utility / one.usual for one in self.learned)
+        return 3 if batch.group.holds_set or batch.small else 2 if part > 0.2 else 1 if part > 0.05 else 0
--- a/pathturn/core/interface.py
+++ b/pathturn/core/interface.py
@@ -93,7 +93,8 @@
     moved(batch, course): held so far and sent nowhere, it goes by another course from now on
     answer(batch, dispatch, engine, outcome, latency_us, complete, work_us, memory_mb, report)
     note(batch, engine, sort, level, dispatch); probed(engine, well, latency_us, report)
-    withdrawn(batch); wake(tag); stop(): the process ends once what is out is over
+    withdrawn(batch); wake(tag); stop(left_us): the process ends once what is out is over,
+        and in that time at the latest
     unproven(key), proven(key): a dispatch that has its outcome may still run; then that it surely does not
     unsure(batch): one of its key came about the same time, and it is not known which came first
     """
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -146,8 +146,8 @@
         self._tell("listing", form, rows)
 
     # For whoever starts and stops it, and runs the rounds.
-    def stop(self) -> None:
-        self._tell("stop")
+    def stop(self, left_us: int) -> None:
+        self._tell("stop", left_us)
 
     def beat(self) -> None:
         """Told every few milliseconds; a gap is a standstill of the whole process."""
--- a/pathturn/memory/sessions.py
+++ b/pathturn/memory/sessions.py
@@ -10,6 +10,7 @@
     def at_rest(self) -> bool: ...
     def overdue(self, now: int) -> str | None: ...
     def end(self, code: str) -> None: ...
+    def part(self, code: str) -> None: ...
 
 
 class Sessions:
@@ -30,6 +31,14 @@
     def leave(self, session: Held) -> None:
         self.held.discard(session)
 
+    def busy(self) -> bool:
+        """Whether something would be lost if all ended now."""
+        return not all(each.at_rest() for each in self.held)
+
+    def part(self, code: str) -> None:
+        for each in list(self.held):
+            each.part(code)
+
     def prune(self) -> None:
         now = self.clock()
         for session in list(self.held):
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -32,8 +32,11 @@
 
 PRUNE_S = 0.25
 BEAT_S = 0.01  # often enough to tell a standstill from a busy moment, and not felt in the CPU
-# The protocol's figure: batches still come in for this long after SIGTERM.
-STILL_COMING_S = 0.7
+# The protocol's figures: batches still come in for this long after SIGTERM, and the kill follows once the
+# longest time limit has passed as well, a longer one counted as this.
+STILL_COMING_S, LONGEST_S = 0.7, 3.0
+# The last part of that time is for answers being written; a client sees an end well within the other.
+ENDED_PART, WRITTEN_PART, PARTING_S = 7 / 8, 15 / 16, 0.25
 
 
 class GatewayProcess:
@@ -127,17 +130,34 @@
             self.sessions.prune()
 
     def _finish(self) -> None:
-        """Goes on serving until no batch is open: whatever was taken is owed an answer."""
+        """Whatever was taken is owed an answer, and before the kill: a batch that has longer is ended."""
         self.log("stopping")
         if self.operator is not None:
             self.operator.stop()
         gevent.sleep(STILL_COMING_S)
-        self.server.close()
-        self.facade.stop()
-        while len(self.facade.batches):
-            gevent.sleep(self.step_s)
-        # The last answers may still be on their way out of their greenlets.
-        gevent.sleep(self.step_s)
+        self._close_door()
+        left_s = min(LONGEST_S, max(group.limit_us for group in self.facade.groups.values()) / 1e6)
+        self.facade.stop(int(left_s * ENDED_PART * 1e6))
+        self._wait(WRITTEN_PART * left_s, lambda: len(self.facade.batches) or self.sessions.busy())
+        self.sessions.part("stopped")
+        self._wait(PARTING_S, lambda: self.sessions.held)
         if self.operator is not None:
             self.operator.close()
-        self.log("stopped")
+        self.log(f"stopped open={len(self.facade.batches)} clients={len(self.sessions.held)}")
+
+    def _close_door(self) -> None:
+        """What the system has accepted may hold a batch, and would be reset: after a standstill this timer
+        comes before the listener is looked at."""
+        try:
+            while (found := self.server.do_read()) is not None:
+                self.server.do_handle(*found)
+        except OSError as fault:
+            self.log(f"listener code=lost_{type(fault).__name__}")
+        self.server.close()
+
+    def _wait(self, seconds: float, on: Callable[[], object]) -> None:
+        with gevent.Timeout(seconds, False):
+            while True:
+                gevent.sleep(self.step_s)  # first: connections just accepted have not been looked at
+                if not on():
+                    return
--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -1,6 +1,7 @@
 """Clients' connections: a greenlet reads each, and each batch has a greenlet of its own."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import gevent
@@ -13,6 +14,7 @@
 from pathturn.memory.buffers import Buffers
 from pathturn.memory.facade import Facade
 from pathturn.wire import jsonrpc
+from pathturn.wire.line import quiet
 from pathturn.wire.statement import data_set
 
 # The protocol's figures: so many open batches on a connection, which clients close when idle for 4 s.
@@ -31,6 +33,7 @@
         self.writing, self.open, self.answering, self.taken = RLock(), {}, Group(), 0
         self.lines, self.code, self.last, self.faults = jsonrpc.Lines(longest_line), "", 0, 0
         self.heard_us, self.half_us, self.proven, self.paced_us = facade.clock(), 0, False, 0
+        self.parted = False
 
     def serve(self) -> str:
         """Reads until the connection ends; returns the code for why it did."""
@@ -56,27 +59,37 @@
         self.code = self.code or code
         self.link.close()
 
+    def part(self, code: str) -> None:
+        """Ends it from this side alone: closed with bytes unread, the system would reset it, and take from
+        the client the answers it has not read yet. Its reader goes on to the client's own end."""
+        self.code, self.parted = self.code or code, True
+        with suppress(OSError):
+            self.link.shutdown(socket.SHUT_WR)
+
     def at_rest(self) -> bool:
-        """Whether nothing is lost if it gives way: no batch open, and none on its way from a usual client."""
-        return not self.open and not (self.proven and self.lines.rest)
+        """Whether nothing is lost if it gives way: no answer owed or being written, and no batch on its way
+        from a usual client, be it half a line or what lies unread."""
+        return not self.answering and not (self.proven and (self.lines.rest or not quiet(self.link)))
 
     def overdue(self, now: int) -> str | None:
         """The code with which it is to end, if it holds its place for nothing."""
-        if self.open:
+        if self.answering:
             return None
         idle_s = (now - self.heard_us) / 1e6
         if not self.proven and idle_s > HALF_S:
             return "silent"
         if self.lines.rest and (now - self.half_us) / 1e6 > HALF_S:
             return "half_line"
-        return "idle" if not self.lines.rest and idle_s > IDLE_S else None
+        return "idle" if not self.lines.rest and idle_s > IDLE_S and quiet(self.link) else None
 
     def _read(self) -> str:
         while True:
             with self.buffers.lent() as buffer:
                 size = self.link.recv_into(buffer)
                 if not size:
-                    return "client_closed"
+                    return self.code or "client_closed"
+                if self.parted:
+                    continue  # it crossed the end, and the client sends it again elsewhere
                 faults, halves, lines = self.faults, bool(self.lines.rest), 0
                 for line in self.lines.feed(buffer[:size]):
                     self.proven, halves, self.heard_us, lines = True, False, self.facade.clock(), lines + 1
--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -29,6 +29,21 @@
     """It ended before the call had gone out whole, which proves that nothing came of it."""
 
 
+def quiet(link: socket.socket) -> bool:
+    """Whether nothing lies in the socket, neither bytes nor an end. Whoever waits on it goes on waiting."""
+    patience = link.gettimeout()
+    link.settimeout(0)
+    try:
+        link.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    finally:
+        link.settimeout(patience)
+    return False
+
+
 class Line:
     def __init__(self, place: Place, dial_s: float, buffers: Buffers, log: Callable[[str], None]) -> None:
         _, address = self.place = place
@@ -84,15 +99,8 @@
         return buffer[:size]
 
     def fresh(self) -> bool:
-        """Whether nothing lies in the socket, neither bytes nor an end: idle, it is still usable."""
-        self.socket.settimeout(0)
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        """Idle, it is still usable."""
+        return quiet(self.socket)
 
     def close(self, code: str) -> None:
         """With a call unanswered nothing of it may still come to the engine: behind a cut the system would
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -106,7 +106,7 @@
             self.round()
 
     def stop(self):
-        self.round(("stop",))
+        self.round(("stop", 1_000_000))
 
 
 @settings(max_examples=300)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -287,12 +287,16 @@
 
 def test_connections_without_use_end_and_those_with_work_or_half_a_line_stay() -> None:
     session = Session.__new__(Session)
-    session.open, session.lines, session.proven = {}, jsonrpc.Lines(100), True
+    session.link, client = socket.socketpair()
+    session.answering, session.lines, session.proven = set(), jsonrpc.Lines(100), True
     session.heard_us = session.half_us = 0
     assert session.overdue(4_500_000) is None and session.overdue(5_500_000) == "idle" and session.at_rest()
+    client.send(b"unread")  # closed now, the system would reset it, and the batch in it be lost
+    assert session.overdue(5_500_000) is None and not session.at_rest()
+    session.link.recv(9)
     list(session.lines.feed(memoryview(b"half")))
     assert session.overdue(2_500_000) == "half_line" and not session.at_rest()
-    session.open[1] = None
+    session.answering.add(1)
     assert session.overdue(9_000_000) is None and not session.at_rest()
 
 
