A batch in order is ended by the time its client surely still has, not by what it says

The first try's time ended at 16.970 + 6.269 = 23.239, and the client left half a second later; by what the second try said, and `Session.batch` took, there was time until 24.251. At fault: `Facade.take(..., left_us)` in `Session.batch`, which takes the told patience for what is left at the read.

Change: of a batch in order so much is taken off as a whole row of one connection takes to be written (32 x 60 ms), at most a quarter of its patience. The engine, the module and the answer go by that.

Result: the new test takes a batch of 4,500 ms that is ended after 3.4 s; it fails without the change (4.5 s).

--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -19,6 +19,12 @@
 
 # The protocol's figures: so many open batches on a connection, which clients close when idle for 4 s.
 MOST_OPEN, IDLE_S = 32, 5.0
+# By the protocol batches of a key are written this far apart, and what each says of its patience stems from
+# before its turn. Those of a connection that ended, or were pushed back together, come again in such a row:
+# for the last of them so much is over already, or with little patience a good part of it. Answered by what
+# they say, they would be answered when their clients have gone.
+APART_US, LATE_PART = 60_000, 4
+ROW_US = MOST_OPEN * APART_US
 # A client that sends nothing whole, or reads nothing, is owed an end within 3 s of connecting.
 HALF_S, WRITE_S = 2.0, 2.0
 # So much a connection is taken to ask for: a line each millisecond, and far fewer that are turned away, as
@@ -151,6 +157,8 @@
             # Engines know a query by its ticket alone: the two would be answered with each other's rows.
             self.fault(number, jsonrpc.INVALID)
             return
+        if key is not None and self.facade.group(group).in_order:
+            left_us -= min(ROW_US, left_us // LATE_PART)
         batch = self.facade.take(self, ticket, group, left_us, nonce, key, customer, work_us, memory_mb,
                                  data_set(statement.decode()), repeat, statement)
         self.open[number] = batch
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from contextlib import contextmanager
+from time import monotonic
 
 import gevent
 import orjson
@@ -418,6 +419,19 @@
         assert running.returncode == 0
 
 
+def test_a_batch_in_order_is_answered_though_its_patience_ran_on_before_it_was_written(rig) -> None:
+    """Its client wrote it behind others of its key: a second of what it says was over by then."""
+    rig.engine("e", "runs:9000")
+    rig.start()
+    began = monotonic()
+    rig.call(1, "load", patience=4500)
+    rig.call(2, "look", patience=1000)  # these need not wait for a turn
+    rig.pushed_back(2)
+    assert monotonic() - began > 0.9
+    rig.pushed_back(1, within=4500)
+    assert 3 < monotonic() - began < 3.5
+
+
 def test_what_comes_late_to_a_stopping_process_is_turned_away_at_once(rig, tmp_path) -> None:
     rig.engine("e", "runs:1500")
     with process(rig, tmp_path) as running:
