A round asks each engine once what it bears, and no more for batches like one refused

Change: order, further dispatches and course are asked once a batch; which engines are open and what a cold one bears is found once a round; a batch of the same sort as one that no engine took in this round, and no smaller, is not tried again.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -112,7 +112,7 @@
         self.state, self.started, self.cold_until = names.GONE, 0, 0
         self.load, self.load_at, self.reported = 0.0, 0, False
         self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(3 * PERIOD_US, 6, 2)
-        self.heard, self.shut_until, self.out, self.sent = now, 0, {}, None
+        self.heard, self.shut_until, self.out, self.sent, self.bears = now, 0, {}, None, 0.0
         self.warm, self.held_sets = deque(maxlen=8), set()
 
     def hear_load(self, now: int, load: float) -> None:
@@ -141,16 +141,16 @@
         self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
         self.from_us, self.fall_us, self.number, self.least_work = 0, fall_us, number, least_work
 
-    def allows(self, now: int, engine: Engine, work: float) -> bool:
+    def left(self, now: int, engine: Engine) -> float:
+        """Work that this gateway may still send it now; the same for the whole round but for what is sent."""
         if now >= engine.cold_until or not self.part:
-            return True
+            return inf
         mine, start = self.part * engine.cores, engine.started or engine.cold_until - self.cold_us
         turns = max(1, min(self.cold_us // self.fall_us, int(2 * self.least_work / mine)))
-        turn = (now - start) // self.fall_us
+        if (now - start) // self.fall_us % turns != self.number % turns or now < self.from_us:
+            return 0.0
         engine.sent = engine.sent or Ring(self.fall_us, 10)
-        work += engine.sent.sums(now)[0]
-        ours = turn % turns == self.number % turns and now >= self.from_us
-        return ours and work <= mine * max(1, turns / 2)
+        return mine * max(1, turns / 2) - engine.sent.sums(now)[0]
 
 
 class KeyLines:
@@ -442,9 +442,8 @@
     def _solve(self) -> None:
         live, self.solved_at = self._live(), self.now
         self.keys.resting = {key: until for key, until in self.keys.resting.items() if until > self.now}
-        lines = {pool: sorted(entry for entry in line if not (entry[2].over or entry[2].out))
-                 for pool, line in self.ready.items()}
-        self.ready = {pool: line for pool, line in lines.items() if line}
+        self.ready = {pool: held for pool, line in self.ready.items() if (
+            held := sorted(entry for entry in line if not (entry[2].over or entry[2].out)))}
         for engine in live if self.load_field is None else ():
             engine.hear_load(self.now, len(engine.out) / engine.cores)
         # Probes are priced by the batch: a gateway with little traffic asks little, each engine in turn.
@@ -504,34 +503,33 @@
         if batch.key is not None and (following := self.keys.leave(batch)):
             self._review(following)
 
-    def _gate(self, batch: Batch, engine: Engine) -> bool:
-        """The one way out: rules 2 to 7 and the limits on copies and dispatches."""
-        opens = self.keys.open_at(batch)
-        return (engine.state == names.READY and not batch.over and not batch.out
-                and batch.sends < self.max_dispatches and batch.may_resend(self.now) and batch.allowed(engine)
-                and opens is not None and opens <= self.now
-                and (not batch.sends or self.budget.allows(self.now))
-                and (batch.course is None or batch.course.fits(self.now, batch.sends > 0))
-                and self.cold.allows(self.now, engine, max(batch.learned.usual, batch.work)))
-
-    def _room(self, batch: Batch, engine: Engine) -> bool:
-        group = batch.group
-        locked = (group.holds_set or group.waits_for_set) and batch.data_set in engine.held_sets
-        threads = (engine.threads + group.threads) / (engine.cores * THREADS_PER_CORE)
-        return engine.shut_until <= self.now and not locked and engine.window.fits(threads, not engine.out)
-
     def _choose(self, batch: Batch) -> Engine | None:
+        """The one way out: order, limits on further dispatches, the fleet's window, an engine. Most batches
+        are alike: what no engine takes, none takes later in the round, unless it is smaller."""
+        group, work, opens = batch.group, max(batch.learned.usual, batch.work), self.keys.open_at(batch)
+        locks, sort = group.holds_set or group.waits_for_set, (batch.course, batch.learned, batch.small)
         out = self.threads[1] if batch.small else sum(self.threads)
-        wanted, free = (out + batch.group.threads) / self.engine_threads, batch.small or not self.debt
-        if not self.fleet or not self.fleet[batch.small].fits(wanted, free and not out):
+        wanted, free = (out + group.threads) / self.engine_threads, batch.small or not self.debt
+        if (opens is None or opens > self.now or batch.work >= self.refused.get(sort, inf)
+                or (batch.sends and not self.budget.allows(self.now))
+                or (batch.course is not None and not batch.course.fits(self.now, batch.sends > 0))
+                or not (self.fleet and self.fleet[batch.small].fits(wanted, free and not out))):
             return None
-        fits = (each for each in self.engines.values() if self._room(batch, each) and self._gate(batch, each))
-        return max(fits, default=None, key=lambda each: each.credit + 0.5 * (batch.data_set in each.warm)
-                   - 100 * (each.index in batch.tried))
+        fits = (each for each in self.open if work <= each.bears and batch.allowed(each)
+                and not (locks and batch.data_set in each.held_sets) and each.window.fits(
+                    (each.threads + group.threads) / (each.cores * THREADS_PER_CORE), not each.out))
+        chosen = max(fits, default=None, key=lambda each: each.credit + 0.5 * (batch.data_set in each.warm)
+                     - 100 * (each.index in batch.tried))
+        if chosen is None and not (batch.sends or locks):
+            self.refused[sort] = batch.work
+        return chosen
 
     def _pump(self) -> None:
         """Best first over all pools; one with nowhere to go must not use up the others' looks."""
-        passed = defaultdict(list)
+        passed, self.refused = defaultdict(list), {}
+        for engine in (live := self._live() if self.ready else ()):
+            engine.bears = self.cold.left(self.now, engine) if engine.shut_until <= self.now else 0.0
+        self.open = [engine for engine in live if engine.bears]
         while lines := [pool for pool, line in self.ready.items() if line and len(passed[pool]) < SKIPS]:
             pool = min(lines, key=lambda each: self.ready[each][0]) if len(lines) > 1 else lines[0]
             entry = _, _, batch = heapq.heappop(self.ready[pool])
@@ -554,8 +552,10 @@
         self.budget.spent.add(self.now, batch.sends > 0)
         if batch.course is not None:
             batch.course.sent(self.now, batch.sends > 0)
+        work = max(batch.learned.usual, batch.work)
         if engine.sent:
-            engine.sent.add(self.now, max(batch.learned.usual, batch.work))
+            engine.sent.add(self.now, work)
+        engine.bears -= work
         batch.sends += 1
         batch.tried.add(engine.index)
         if batch.group.holds_set:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -20,7 +20,7 @@
         engine.cold_until = start + COLD_US + (3 - number) % 14 * FALL_US
     for now in range(start, start + COLD_US, 50_000):
         for number, (guard, engine) in enumerate(crowd):
-            while guard.allows(now, engine, usual):
+            while guard.left(now, engine) >= usual:
                 engine.sent.add(now, usual)
                 sent.append(now)
                 senders.add(number)
