No more of a key are held than its clients can write again in time

The longer the row, the less is true of the patience its last ones tell; on a fleet with more traffic a gateway the row has no bound but the time limit, 250 batches in 15 s, and a kill can't spread it.

Change: a line of 32, which is what one connection carries, takes no more; the next is pushed back at once, with a pause. The held data sets are read from what is out at the engine, where they stood twice.

Result: the new test pushes back the 33rd and 34th of a key and takes the next of another one; without the change all 34 are held.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -22,6 +22,7 @@
 LOADS = ("held", "utilisation", "disks", "memory")
 ASKS = 0.25  # probes a batch taken
 Dispatch = namedtuple("Dispatch", "batch sent load")
+ROW = 32  # of a key held: more, written again 60 ms apart as clients do, would outlast the patience they tell
 SKIPS = 24  # held batches looked past in a round: bounds the work when the first ones have nowhere to go
 
 
@@ -113,13 +114,15 @@
         self.load, self.load_at, self.reported = 0.0, 0, False
         self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(3 * PERIOD_US, 6, 2)
         self.heard, self.shut_until, self.out, self.sent, self.bears = now, 0, {}, None, 0.0
-        self.warm, self.held_sets = deque(maxlen=8), set()
+        self.warm = deque(maxlen=8)
+
+    def holds(self, data_set: int) -> bool:
+        return any(one.batch.data_set == data_set and one.batch.group.holds_set for one in self.out.values())
 
     def hear_load(self, now: int, load: float) -> None:
         """The design's moving average; the first report stands as it is."""
         weight = 1 - exp(-(now - self.load_at) / SMOOTH_US) if self.reported else 1.0
-        self.load += weight * (load - self.load)
-        self.load_at, self.reported = now, True
+        self.load, self.load_at, self.reported = self.load + weight * (load - self.load), now, True
 
 
 class Budget:
@@ -309,8 +312,9 @@
         self.budget.taken.add(self.now, 1)
         self.asks += ASKS
         if batch.group.in_order and key is not None:
-            batch.key = key
-            self.keys.lines.setdefault(key, deque()).append(batch)
+            batch.key, line = key, self.keys.lines.setdefault(key, deque())
+            line.append(batch)
+            batch.last = batch.last if len(line) <= ROW else self.now
         for due in (min(batch.last, int(batch.goal - 0.5 * batch.solo) + 1), batch.last):
             heapq.heappush(self.later, (due, next(self.counter), batch))
         if course is None or (pause := course.pause(self.now)) is None:
@@ -340,8 +344,6 @@
         self.threads[batch.small] -= batch.group.threads
         if batch.course is not None:
             batch.course.back()
-        if batch.group.holds_set:
-            engine.held_sets.discard(batch.data_set)
         self._report(engine, report)
         if outcome == names.RETURNED:
             self._returned(engine, dispatch, latency, work_us)
@@ -516,7 +518,7 @@
                 or not (self.fleet and self.fleet[batch.small].fits(wanted, free and not out))):
             return None
         fits = (each for each in self.open if work <= each.bears and batch.allowed(each)
-                and not (locks and batch.data_set in each.held_sets) and each.window.fits(
+                and not (locks and each.holds(batch.data_set)) and each.window.fits(
                     (each.threads + group.threads) / (each.cores * THREADS_PER_CORE), not each.out))
         chosen = max(fits, default=None, key=lambda each: each.credit + 0.5 * (batch.data_set in each.warm)
                      - 100 * (each.index in batch.tried))
@@ -558,8 +560,6 @@
         engine.bears -= work
         batch.sends += 1
         batch.tried.add(engine.index)
-        if batch.group.holds_set:
-            engine.held_sets.add(batch.data_set)
         engine.warm.append(batch.data_set)
         self._debit(engine, batch.work)
         grant = round(batch.learned.grant * batch.memory_hint) if self.grants else 0
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from pathturn.core import interface as names
+from pathturn.core.choice import ROW
 
 REST_US, KEYS, KINDS = 300_000, ("k", "l"), ("referenced", "once", "repeatable")
 ENDS = (names.RETURNED, names.ERRORED, names.FULL, names.TIMED_OUT, names.UNREACHABLE, names.RESET,
@@ -142,3 +143,13 @@
     assert not judge.flying
     judge.wait(50)
     assert list(judge.flying) == [(1, 0)]
+
+
+def test_no_more_of_a_key_are_held_than_can_be_written_again_in_time() -> None:
+    """A gateway that ends has its clients write all it held of a key 60 ms apart, behind one another."""
+    judge = Judge()
+    for _ in range(ROW + 2):
+        judge.take(0, "k", 9000)
+    assert judge.over == {ROW, ROW + 1}
+    judge.take(0, "other", 9000)
+    assert len(judge.flying) == 2
