A SIGHUP during the start neither ends the process nor is lost

Cause: until `cli/serve.py` had set its handlers, after the configuration was read and the gateway built, SIGHUP ended the process, by its default, and what came in between was lost. With a part of a core that is most of a second.

--- a/pathturn/cli/serve.py
+++ b/pathturn/cli/serve.py
@@ -40,11 +40,11 @@
 
     from pathturn.process.gateway import GatewayProcess
 
+    # Before the configuration is read: what comes from then on is kept until the event loop runs.
+    gevent.signal_handler(signal.SIGTERM, lambda: gateway.asked_to_stop.set())
+    gevent.signal_handler(signal.SIGHUP, lambda: gateway.reload(lambda: _read(config)))
     with plain_faults():
         gateway = GatewayProcess(_read(config), _installation(operator))
-        # Before the first connection: without a handler of its own either signal ends the process at once.
-        gevent.signal_handler(signal.SIGTERM, gateway.asked_to_stop.set)
-        gevent.signal_handler(signal.SIGHUP, gateway.reload, lambda: _read(config))
         gateway.server.start()
     gateway.run()
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -10,9 +10,10 @@
 import orjson
 import pytest
 from gevent import socket
+from gevent.server import DatagramServer
 
 from pathturn.standins.clients import Caller
-from pathturn.standins.farm import Farm, spare_address
+from pathturn.standins.farm import Farm, at, spare_address
 
 SLACK_S = 0.12  # the protocol's 50 ms, and what a shared machine may stand still
 
@@ -129,3 +130,34 @@
         assert monotonic() - at > 2
         assert sorted(site.whole()) == ["errored", *["pushed_back"] * 5]
         assert len([each for each in site.engines["e"].asked if each[0] == "DELETE"]) == 4
+
+
+def test_a_new_configuration_during_the_start_neither_ends_it_nor_is_lost(tmp_path) -> None:
+    """At each phase of the start: a reload names another directory, and that one is asked."""
+    sites, asked = [], set()
+    try:
+        for step in range(12):
+            (folder := tmp_path / str(step)).mkdir()
+            site = Site(folder)
+            site.engine("e")
+            old = site.configuration("{}:{}".format(*site.listen))
+            site.config.write_bytes(orjson.dumps(old))
+            site.running = subprocess.Popen([sys.executable, "-m", "pathturn", "serve", str(site.config)],
+                                            stderr=subprocess.DEVNULL)
+            sites.append(site)
+            gevent.sleep(0.1 + 0.05 * step)  # the interpreter's own start comes before any of ours
+            other = DatagramServer(("127.0.0.1", 0), lambda packet, peer, step=step: asked.add(step))
+            other.start()
+            site.others = other
+            site.config.write_bytes(orjson.dumps(old | {"names": at(other)}))
+            site.running.send_signal(signal.SIGHUP)
+        with gevent.Timeout(10, False):
+            while len(asked) < len(sites):
+                gevent.sleep(0.02)
+        assert asked == set(range(12)) and all(site.running.poll() is None for site in sites)
+    finally:
+        for site in sites:
+            site.running.kill()
+            site.running.wait()
+            site.others.stop(0)
+            site.stop()
