What lay unread over a standstill has run on; a stop keeps to its time whoever holds on

Cause, by reading: `Facade.take` counts a batch's time from the read, and over a standstill of the process that is later than its last byte by as much as it stood, so it was answered late by as much. `_finish` could take 3.76 s where the kill comes at 3.7, with a client that never closes. A fault while a client's bytes were read ended its other batches without answers.

Change: the gap that the beat tells is taken off the time of what is read right after it. The stop's steps are parts of one time: batches are ended by 13/16 of it, their answers written by 14/16, connections closed from both sides by 15/16. After a fault what is open on that connection is answered first.

Result: tests/test_stop.py has a batch written into a process that stands still for 0.7 s, answered within its 1.3 s, and clients that say nothing, half a line, or 99 lines and never read, which hold a stop up for no longer than 2.2 s.

--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -37,7 +37,7 @@
         self.batches, self.roster = OpenBatches(), Roster()
         self.events: list[tuple] = []
         self.first_of: dict[str, object] = {}
-        self.beat_us, self.stood_us = clock(), 0
+        self.beat_us, self.stood_us, self.gap_us = clock(), 0, 0
         self.came, self.wake_at = Event(), inf
         self.follows_list = Event()
         self.router: Router | None = None
@@ -58,7 +58,7 @@
     def take(self, source: object, ticket: str, group: str, left_us: int, nonce: str | None,
              key: str | None, customer: str | None, work_us: int, memory_mb: float, data_set: int,
              repeat: bool, statement: bytes) -> Batch:
-        until_us = self.clock() + left_us
+        until_us = self.clock() + left_us - self._waited_us()
         batch = self.batches.open(ticket, group, nonce, key, statement, until_us)
         if self.router is not None:
             batch.told = self.traits(group, customer, key, data_set, ticket)
@@ -153,14 +153,19 @@
         """Told every few milliseconds; a gap is a standstill of the whole process."""
         now = self.clock()
         if now - self.beat_us > STANDSTILL_US:
-            self.stood_us = now
+            self.stood_us, self.gap_us = now, now - self.beat_us
             self.log_line(f"stood still for {(now - self.beat_us) // 1000} ms")
         self.beat_us = now
 
+    def _waited_us(self) -> int:
+        """For how long what is read now may have lain unread: its time runs from its last byte."""
+        now = self.clock()
+        gap = now - self.beat_us
+        return gap if gap > STANDSTILL_US else self.gap_us if now - self.stood_us < STANDSTILL_US else 0
+
     def _stood(self) -> bool:
         """Whether what is read now may have come in one; the beat that tells of it may come only next."""
-        now = self.clock()
-        return now - self.beat_us > STANDSTILL_US or now - self.stood_us < STANDSTILL_US
+        return self._waited_us() > 0
 
     def wait(self) -> None:
         """Until something came in, or the module asked to be woken."""
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -35,8 +35,8 @@
 # The protocol's figures: batches still come in for this long after SIGTERM, and the kill follows once the
 # longest time limit has passed as well, a longer one counted as this.
 STILL_COMING_S, LONGEST_S = 0.7, 3.0
-# The last part of that time is for answers being written; a client sees an end well within the other.
-ENDED_PART, WRITTEN_PART, PARTING_S = 7 / 8, 15 / 16, 0.25
+# By which parts of it batches are ended, their answers written, and connections closed from both sides.
+ENDED, WRITTEN, PARTED = 13 / 16, 14 / 16, 15 / 16
 
 
 class GatewayProcess:
@@ -137,10 +137,10 @@
         gevent.sleep(STILL_COMING_S)
         self._close_door()
         left_s = min(LONGEST_S, max(group.limit_us for group in self.facade.groups.values()) / 1e6)
-        self.facade.stop(int(left_s * ENDED_PART * 1e6))
-        self._wait(WRITTEN_PART * left_s, lambda: len(self.facade.batches) or self.sessions.busy())
+        self.facade.stop(int(ENDED * left_s * 1e6))
+        self._wait(WRITTEN * left_s, lambda: len(self.facade.batches) or self.sessions.busy())
         self.sessions.part("stopped")
-        self._wait(PARTING_S, lambda: self.sessions.held)
+        self._wait((PARTED - WRITTEN) * left_s, lambda: self.sessions.held)
         if self.operator is not None:
             self.operator.close()
         self.log(f"stopped open={len(self.facade.batches)} clients={len(self.sessions.held)}")
--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -54,6 +54,7 @@
             self.answering.join()
             return str(fault)
         except Exception as fault:  # noqa: BLE001 - whatever a client sent must end its own connection alone
+            self.answering.join()
             return f"fault_{type(fault).__name__}"
         finally:
             for batch in list(self.open.values()):
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -132,6 +132,37 @@
         assert len([each for each in site.engines["e"].asked if each[0] == "DELETE"]) == 4
 
 
+def test_a_batch_that_lay_unread_over_a_standstill_is_answered_in_its_time(site) -> None:
+    site.engine("e", "runs:9000")
+    with site.process():
+        caller = site.caller()
+        caller.send("look", 200)
+        gevent.sleep(0.4)
+        site.running.send_signal(signal.SIGSTOP)
+        gevent.sleep(0.05)
+        caller.send("look", 1300)
+        gevent.sleep(0.7)
+        site.running.send_signal(signal.SIGCONT)
+        gevent.sleep(1)
+        assert site.whole() == ["pushed_back"] * 2
+        assert caller.took["look"][1] < 1.3 + SLACK_S
+
+
+@pytest.mark.parametrize("bad", [b"", b'{"jsonrpc":"2.0","id":1,',
+                                 b'{"jsonrpc":"2.0","id":1,"method":"none"}\n' * 99])
+def test_a_client_that_never_closes_does_not_hold_the_stop_up(site, bad) -> None:
+    """Nor does one with half a line, or one that floods and never reads."""
+    site.engine("e", "rows:1")
+    with site.process():
+        with socket.create_connection(site.listen) as stranger:
+            stranger.sendall(bad)
+            site.caller().send("look")
+            gevent.sleep(0.2)
+            at = site.term()
+            site.ended(0.7 + 1.5)  # the longest limit, 5 s, counts as 3
+        assert monotonic() - at < 2.2 and site.whole() == ["returned"]
+
+
 def test_a_new_configuration_during_the_start_neither_ends_it_nor_is_lost(tmp_path) -> None:
     """At each phase of the start: a reload names another directory, and that one is asked."""
     sites, asked = [], set()
