--- a/pathturn/standins/engines.py
+++ b/pathturn/standins/engines.py
@@ -12,6 +12,7 @@
 from gevent.server import StreamServer
 
 MOST_ASKED = 100_000
+FULL_PAGE = 1000  # rows of 6 bytes: as large as a page may be
 FORGOTTEN_S = 2.0  # the protocol's figure: a query ends by itself when it is not asked for that long
 # Words by which a batch has its effect, or may have had it for all that anybody can tell.
 RUN = frozenset({"rows", "runs", "notes", "reset", "drop", "lost", "error", "hang"})
@@ -124,11 +125,11 @@
             kind, value = "rows", "1"
         if kind == "odd":
             return self.answer(link, 200, [("X-Pages", "nan")])
-        if kind in ("rows", "lost", "torn"):
+        if kind in ("rows", "lost", "torn", "big"):
             self.over(ticket)
             told = [("X-Pages", value or 2), ("X-Cost-Ms", 5), ("X-Needed-Mb", 1),
                     ("X-Meter", "depth:0;concurrent:2")]
-            return self.answer(link, 200, told, b"a\tb\t0\n")
+            return self.answer(link, 200, told, b"a\tb\t0\n" * (FULL_PAGE if kind == "big" else 1))
         self.over(ticket)
         status = {"full": 503, "over": 504}.get(kind, 500)
         return self.answer(link, status, [("X-Shed", 1)] if status != 500 else [])
@@ -142,7 +143,8 @@
         if word.startswith("torn:"):
             self.queries[ticket] = (f"rows:{word[5:]}", 0)
             return self.send(link, SPOILT["short"])
-        return self.answer(link, 200, [("X-Page", number)], f"a\tb\t{number}\n".encode())
+        rows = FULL_PAGE if word.startswith("big:") else 1
+        return self.answer(link, 200, [("X-Page", number)], f"a\tb\t{number}\n".encode() * rows)
 
     def send(self, link: socket.socket, pieces: Iterable[bytes | None]) -> None:
         try:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -3,7 +3,8 @@
 import signal
 import subprocess
 import sys
-from contextlib import contextmanager
+from base64 import b64encode
+from contextlib import contextmanager, suppress
 from time import monotonic
 
 import gevent
@@ -24,7 +25,7 @@
     def __init__(self, folder) -> None:
         super().__init__()
         self.config, self.listen, self.callers = folder / "config.json", spare_address(), []
-        self.tickets = iter(range(1, 1 << 30))
+        self.tickets = iter(range(100, 1 << 30))
 
     @contextmanager
     def process(self):
@@ -110,6 +111,92 @@
         assert len(site.whole()) == 8
 
 
+def test_a_full_connection_and_half_a_line_are_answered_through_a_stop(site) -> None:
+    site.engine("e", "runs:400")
+    with site.process():
+        full = site.caller()
+        for _ in range(30):
+            full.send("look", 1400)
+        with socket.create_connection(site.listen) as late:
+            late.sendall(line(1) + line(2)[:40])
+            gevent.sleep(0.1)
+            site.term()
+            gevent.sleep(0.5)
+            late.sendall(line(2)[40:])
+            with late.makefile("rb") as read:
+                assert sorted(orjson.loads(each)["id"] for each in read) == [1, 2]
+        site.ended(3)
+        assert len(site.whole()) == 30
+
+
+def test_large_results_reach_a_slow_reader_through_a_stop(site) -> None:
+    """More than the system's buffers hold, to a client that reads nothing for a second."""
+    site.engine("e", "big:8")
+    with site.process():
+        with socket.socket() as slow:
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            slow.connect(site.listen)
+            for number in range(1, 31):
+                slow.sendall(line(number))
+            gevent.sleep(0.4)
+            at = site.term()
+            gevent.sleep(1)
+            with slow.makefile("rb") as read:
+                ids = [orjson.loads(each)["id"] for each in read if len(each) > 48_000]
+        assert sorted(ids) == list(range(1, 31))
+        site.ended(1)
+        assert monotonic() - at < 3.7
+
+
+def line(number: int) -> bytes:
+    params = {"trace": f"{number:016x}", "patience": 1500, "weight": 20, "est_mb": 1,
+              "data": b64encode(b"SELECT 1 FROM sales_3.orders").decode()}
+    return orjson.dumps({"jsonrpc": "2.0", "id": number, "method": "look", "params": params}) + b"\n"
+
+
+def test_a_key_that_waits_for_a_proof_does_not_outlast_a_stop(site) -> None:
+    site.settings["classes"][2]["deadlineUs"] = 20_000_000
+    site.engine("e", "runs:15000")
+    site.strait("e")
+    with site.process():
+        caller = site.caller()
+        for turn in range(4):
+            caller.send("load", 18_000, "k", f"k-{turn}")
+        gevent.sleep(0.3)
+        site.straits["e"].cut()
+        site.term()
+        site.ended(3.65)
+        assert site.whole() == ["pushed_back"] * 4
+
+
+def test_a_process_that_gets_a_part_of_a_core_loses_nothing_at_a_stop(site) -> None:
+    """It stands still for 150 ms of each 250, and is told twice to stop, and to reload meanwhile."""
+    site.engine("e", "runs:100")
+    with site.process():
+        jerks = gevent.spawn(jerk, site.running)
+        old = [site.caller() for _ in range(4)]
+        at = site.term()
+        for step in range(24):
+            gevent.sleep(max(0, at + 0.025 * step - monotonic()))
+            old[step % 4].send("look", 1400)
+            if step <= 14:
+                site.caller().send("look", 1400)
+            if step in (7, 15):
+                site.running.send_signal(signal.SIGHUP if step == 7 else signal.SIGTERM)
+        site.ended(3.7)
+        jerks.kill()
+        assert len(site.whole()) == 39
+
+
+def jerk(running) -> None:
+    with suppress(ProcessLookupError):
+        while running.poll() is None:
+            running.send_signal(signal.SIGSTOP)
+            gevent.sleep(0.15)
+            running.send_signal(signal.SIGCONT)
+            gevent.sleep(0.1)
+
+
 def test_a_batch_with_longer_than_the_kill_takes_is_ended_before_it(site) -> None:
     """SIGKILL comes 3.7 s after SIGTERM however long a batch may last."""
     site.settings["classes"][0]["deadlineUs"] = 20_000_000
