After a stop's parting a connection's bytes are thrown away without starving the others

Cause, by reading: a client that goes on sending after the gateway has ended its side was read in a loop that gave nobody else a turn, so the time limits of the stop could not act.

Change: what crosses that end goes the usual way round the loop, with its rest, and is not parsed.

Result: a test floods a stopping process with pings; it ends in its time. It does so without the change as well, where the client is slower than the gateway: the change is for one that is not.

--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -95,10 +95,9 @@
                 size = self.link.recv_into(buffer)
                 if not size:
                     return self.code or "client_closed"
-                if self.parted:
-                    continue  # it crossed the end, and the client sends it again elsewhere
                 faults, halves, lines = self.faults, bool(self.lines.rest), 0
-                for line in self.lines.feed(buffer[:size]):
+                # What crosses this side's end its client sends again elsewhere.
+                for line in () if self.parted else self.lines.feed(buffer[:size]):
                     self.proven, halves, self.heard_us, lines = True, False, self.facade.clock(), lines + 1
                     jsonrpc.read(line, self)
                 if self.lines.rest and not halves:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -250,6 +250,31 @@
         assert monotonic() - at < 2.2 and site.whole() == ["returned"]
 
 
+def test_a_client_that_floods_without_end_does_not_hold_the_stop_up(site) -> None:
+    site.engine("e", "rows:1")
+    with site.process(), socket.create_connection(site.listen) as stranger:
+        ping = b"".join(b'{"jsonrpc":"2.0","id":%d,"method":"ping"}\n' % number for number in range(1, 2000))
+        flood = gevent.spawn(pour, stranger, ping)
+        gevent.spawn(drain, stranger)
+        gevent.sleep(0.2)
+        site.term()
+        site.ended(3.65)
+        flood.kill()
+
+
+def pour(link, lines: bytes) -> None:
+    with suppress(OSError):
+        while True:
+            link.sendall(lines)
+            gevent.sleep(0)
+
+
+def drain(link) -> None:
+    with suppress(OSError):
+        while link.recv(65_536):
+            pass
+
+
 def test_a_new_configuration_during_the_start_neither_ends_it_nor_is_lost(tmp_path) -> None:
     """At each phase of the start: a reload names another directory, and that one is asked."""
     sites, asked = [], set()
