--- a/pathturn/cli/common.py
+++ b/pathturn/cli/common.py
@@ -19,10 +19,12 @@
 @contextmanager
 def plain_faults() -> Iterator[None]:
     """One line for whoever starts it, in place of a trace, for what is wrong with the configuration."""
+    from pathturn.process.start import unusable
+
     try:
         yield
     except Exception as fault:  # noqa: BLE001 - whatever a file holds, whoever starts it gets one line
-        typer.echo(f"pathturn: the configuration cannot be used: {type(fault).__name__}: {fault}", err=True)
+        typer.echo(unusable(fault), err=True)
         raise typer.Exit(USAGE) from None
 
 
--- a/pathturn/cli/serve.py
+++ b/pathturn/cli/serve.py
@@ -1,10 +1,8 @@
 """The gateway itself, and what looks at its configuration."""
 
-import signal
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
-import orjson
 import typer
 
 from pathturn.cli.common import plain_faults
@@ -28,39 +26,19 @@
     app.command()(version)
 
 
-def _read(config: Path | None) -> dict[str, Any]:
-    if config is None:
-        raise ValueError("neither an argument nor EDGE_CONFIG names a file")
-    return orjson.loads(config.read_bytes())
-
-
 def serve(config: ConfigFile = None, operator: OperatorFile = None) -> None:
     """Run one gateway in the foreground until SIGTERM; SIGHUP has it read its configuration again."""
-    import gevent  # here, since only this command needs the event loop
-
-    from pathturn.process.gateway import GatewayProcess
-
-    # Before the configuration is read: what comes from then on is kept until the event loop runs.
-    gevent.signal_handler(signal.SIGTERM, lambda: gateway.asked_to_stop.set())
-    gevent.signal_handler(signal.SIGHUP, lambda: gateway.reload(lambda: _read(config)))
-    with plain_faults():
-        gateway = GatewayProcess(_read(config), _installation(operator))
-        gateway.server.start()
-    gateway.run()
-
+    from pathturn.process import start  # here, since only this command needs the event loop
 
-def _installation(operator: Path | None) -> Any:
-    if operator is None:
-        return None
-    from pathturn.config.installation import installation
-
-    return installation(operator)
+    start.serve(config, operator)
 
 
 def check(config: ConfigFile = None) -> None:
     """Read a configuration and print what a gateway would start with."""
+    from pathturn.process.start import read
+
     with plain_faults():
-        told = _read(config)
+        told = read(config)
         serial, rows = directory.known(told["known"])
         _, groups = build(int(told["seed"], 16), told["settings"])
         clients, engines = shares(told["limits"]["sockets"])
