A refused connection is no proof by itself; the give-up goes out where the news came

An engine that drains takes no new connection and goes on with its queries. Ruled out: a process that died (its connections are reset; this one was not), a second dispatch, the list.

Change: once the answer that is due has come, the give-up goes out on the same connection. A refusal proves the end only where the engine had reset or closed ours; else the give-up is repeated until it is answered or the list names the engine no more.

--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -1,6 +1,5 @@
 """Carries dispatches to engines: from the first byte to the outcome."""
 
-import contextlib
 from collections.abc import Callable
 from functools import partial
 
@@ -17,6 +16,7 @@
 Answer = tuple[int, dict[str, str], bytes]
 # A spoilt answer comes whole when asked for again; an engine that fails so often in a row has lost it.
 TRIES, PAUSE_S = 6, 0.01
+RESETS = frozenset({"closed", "ConnectionResetError", "BrokenPipeError"})  # what a process that dies leaves
 ASK_AGAIN_S = 0.1  # between give-ups that nobody answers: a key waits for one, but each costs a dial
 
 
@@ -96,8 +96,11 @@
         dispatch = trip.dispatch
         if told is not None:
             trip.settle()
+            if trip.give_up():
+                told()
+                return
         trip.drop(trip.code)
-        while not self._give_up(dispatch) and told is not None:
+        while not self._give_up(dispatch, trip.reset) and told is not None:
             if not self.facade.named(dispatch) and self.clock() >= trip.forgotten_us:
                 break
             gevent.sleep(ASK_AGAIN_S)
@@ -148,14 +151,17 @@
                            warehouse.number(told, "x-needed-mb"),
                            warehouse.meter(told, self.report_fields), rows)
 
-    def _give_up(self, dispatch: Dispatch) -> bool:
-        return self._aside(dispatch, warehouse.give_up)
+    def _give_up(self, dispatch: Dispatch, reset: bool) -> bool:
+        """Whether it is proven over. A refusal alone proves nothing: an engine that drains, or has all the
+        connections it bears, takes no new one and goes on with its queries. One that died reset ours too."""
+        return self._aside(dispatch, warehouse.give_up, reset)
 
     def _rerank(self, dispatch: Dispatch, priority: int) -> None:
         self._aside(dispatch, lambda host, ticket: warehouse.rank(host, ticket, priority))
 
-    def _aside(self, dispatch: Dispatch, request: Callable[[str, str], bytes]) -> bool:
-        """A call beside the one that asks for news; whether it was answered in time."""
+    def _aside(self, dispatch: Dispatch, request: Callable[[str, str], bytes], gone: bool = False) -> bool:
+        """A call beside the one that asks for news; whether it was answered in time, or refused where that
+        says that the engine is gone."""
         trip = Trip(dispatch, self.pools)
         try:
             with gevent.Timeout(self.pools.dial_s, TimeUp):
@@ -164,7 +170,7 @@
             trip.end()
             return True
         except Unreachable as fault:
-            return fault.refused  # its process is gone, and the query with it
+            return fault.refused and gone
         except (Lost, TimeUp):
             return False
         finally:
@@ -176,7 +182,7 @@
     its result: where an answer was lost, late or spoilt it is asked for again on a new one, not run again."""
 
     def __init__(self, dispatch: Dispatch, pools: Pools) -> None:
-        self.dispatch, self.pools, self.begun, self.torn = dispatch, pools, False, False
+        self.dispatch, self.pools, self.begun, self.torn, self.reset = dispatch, pools, False, False, False
         self.line: Line | None = None
         self.code = "unanswered"  # why its connection is dropped in the end
         self.forgotten_us = 0  # when the engine has ended it by itself, if it hears of it no more
@@ -195,8 +201,26 @@
         """Waits for the answer to a call that is out: a give-up on another connection could overtake the
         start it is to end. One that is torn brings nothing more; one that stays silent is torn by us."""
         if self.line is not None and self.line.due:
-            with contextlib.suppress(Lost), gevent.Timeout(self.patience_s, False):
-                self.line.answer()
+            self._aside(self.line.answer)
+
+    def give_up(self) -> bool:
+        """On the connection that brought its news, if that is free: an engine may take no new one."""
+        if self.line is None or self.line.due:
+            return False
+        if answered := self._aside(partial(self.line.call, warehouse.give_up(
+                self.line.host, self.dispatch.batch.ticket), self.patience_s)):
+            self.end()
+        return answered
+
+    def _aside(self, call: Callable[[], Answer]) -> bool:
+        """Whether it brought an answer in time; if not, the connection is of no use any more."""
+        try:
+            with gevent.Timeout(self.patience_s, False):
+                call()
+                return True
+        except Lost as fault:
+            self._lose(fault)
+        return False
 
     def news(self) -> tuple[int, Answer]:
         """After a lost call an error may also mean that the engine knows nothing of the query: its start may
@@ -238,7 +262,7 @@
         return found, answer
 
     def _lose(self, fault: Lost) -> None:
-        self.torn = True
+        self.torn, self.reset = True, self.reset or str(fault) in RESETS
         self.drop(f"lost_{fault}")
 
     def end(self) -> None:
