The next of a key goes out only once the answer before it is written

By reading one way is open, and a test shows it: the module lets the next of a key go when it has decided the end, or has heard the outcome, of the one before; its answer may then still wait behind others on its client's connection (the lock for writing, up to 2 s for a client that reads slowly), and for the client it is not over.

Change: the facade counts by key the answers that are being written; a dispatch of that key waits for them before it takes a connection. Other keys and batches without one do not.

Result: in the new test an answer is held up on its connection; the next of its key is not sent meanwhile, one of another key is. Without the change it is sent.

--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -3,7 +3,9 @@
 Events, actions and indices of the module stay in here; here nothing is decided.
 """
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
 from math import inf
 from typing import TYPE_CHECKING, Any
@@ -37,6 +39,7 @@
         self.batches, self.roster = OpenBatches(), Roster()
         self.events: list[tuple] = []
         self.first_of: dict[str, object] = {}
+        self.unwritten: Counter[str] = Counter()  # by key: batches whose clients have not got their end yet
         self.beat_us, self.stood_us, self.gap_us = clock(), 0, 0
         self.came, self.wake_at = Event(), inf
         self.follows_list = Event()
@@ -82,6 +85,21 @@
             self.leave(batch)
             return End(names.ERRORED)
 
+    @contextmanager
+    def answering(self, batch: Batch) -> Iterator[None]:
+        """While a batch's answer is being written. The module knows it as over by then, and lets the next of
+        its key go; for the client it is over once the answer is there."""
+        if batch.key is not None:
+            self.unwritten[batch.key] += 1
+        try:
+            yield
+        finally:
+            self.unwritten -= Counter((batch.key,))
+
+    def follows(self, dispatch: Dispatch) -> bool:
+        """Whether those before it in its key's order have their answers."""
+        return dispatch.batch.key not in self.unwritten
+
     def leave(self, batch: Batch) -> None:
         """The client no longer waits."""
         if not batch.over:
--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -171,7 +171,8 @@
         if self.open.get(number) is batch:
             del self.open[number]
         self.heard_us = self.facade.clock()
-        self._answer(number, step)
+        with self.facade.answering(batch):
+            self._answer(number, step)
 
     def _answer(self, number: Any, end: End) -> None:
         if end.how == names.RETURNED:
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -112,6 +112,8 @@
 
     def _run(self, trip: "Trip") -> None:
         dispatch, batch = trip.dispatch, trip.dispatch.batch
+        while not self.facade.follows(dispatch):
+            gevent.sleep(PAUSE_S)
         trip.line = self.pools.borrow(dispatch.place)
         if not self.facade.stands(dispatch):
             trip.end()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -432,6 +432,25 @@
     assert 3 < monotonic() - began < 3.5
 
 
+def test_the_next_of_a_key_goes_out_once_the_answer_before_it_is_written(rig) -> None:
+    """Held up by an answer before it on its connection; batches of other keys need not wait."""
+    rig.engine("e", "rows:1")
+    rig.start()
+    rig.call(1, "load", key="first")
+    rig.returned(1)
+    (slow,) = rig.gateway.sessions.held
+    with slow.writing:
+        rig.call(2, "load", key="k", patience=3000)
+        gevent.sleep(0.2)
+        rig.connect()
+        rig.call(3, "load", key="k", patience=3000)
+        rig.call(4, "load", key="other", patience=3000)
+        rig.returned(4)
+        assert len(rig.engines["e"].posts()) == 3
+    for number in (2, 3):
+        rig.returned(number)
+
+
 def test_what_comes_late_to_a_stopping_process_is_turned_away_at_once(rig, tmp_path) -> None:
     rig.engine("e", "runs:1500")
     with process(rig, tmp_path) as running:
