A wake the module asked for is no longer lost behind one still under way

Cause: Facade.wake counted the delay from when it was written, the module from the round's own time, so the facade's wake lay later than the one the module had noted. A round in between (any event starts one) found the noted one past and asked for a new one, which min() hid behind the old; when the old one came the module took its own for pending and asked for nothing. From then on nobody woke it until something came in.

The more of a core a round takes, the wider the gap.

Change: the delay counts from the round's time.

--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -41,7 +41,7 @@
         self.first_of: dict[str, object] = {}
         self.unwritten: Counter[str] = Counter()  # by key: batches whose clients have not got their end yet
         self.beat_us, self.stood_us, self.gap_us = clock(), 0, 0
-        self.came, self.wake_at = Event(), inf
+        self.came, self.wake_at, self.round_us = Event(), inf, 0
         self.follows_list = Event()
         self.router: Router | None = None
         self.traits: Callable[..., Traits] | None = None
@@ -197,6 +197,7 @@
         events, self.events = [self._as_of(now, event) for event in self.events], []
         if not self._stood():
             self.first_of.clear()
+        self.round_us = now
         if now >= self.wake_at:
             self.wake_at = inf
             events.append(("wake", 0))
@@ -240,7 +241,9 @@
             self.batches.settle(held)
 
     def wake(self, delay_us: int, tag: int) -> None:
-        self.wake_at = min(self.wake_at, self.clock() + delay_us)
+        # From the round's own time, as the module counts. From now it would come later than the module noted:
+        # a round in between finds it past there, and what it asks for anew is lost behind the old one.
+        self.wake_at = min(self.wake_at, self.round_us + delay_us)
 
     def subscribe(self, on: bool) -> None:
         (self.follows_list.set if on else self.follows_list.clear)()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,12 +1,14 @@
 """What is spoken, without sockets; and a gateway's whole life as a process."""
 
 import contextlib
+import itertools
 import os
 import signal
 import struct
 import subprocess
 import sys
 from contextlib import contextmanager
+from math import inf
 from time import monotonic
 
 import gevent
@@ -20,8 +22,11 @@
 
 from pathturn.cli import app
 from pathturn.core import interface as names
+from pathturn.memory.facade import Facade
 from pathturn.process.limits import shares
 from pathturn.process.log import LINES_A_SECOND, Log
+from pathturn.process.settings import build
+from pathturn.standins import farm
 from pathturn.standins.engines import MORE, SPOILT
 from pathturn.standins.farm import at
 from pathturn.wire import directory, jsonrpc, warehouse
@@ -342,6 +347,20 @@
     rig.idle()
 
 
+@pytest.mark.parametrize("early_us", range(0, 9_000, 1_500))
+def test_a_wake_is_not_lost_behind_one_that_a_round_took_time_to_ask_for(early_us) -> None:
+    clock = itertools.count(1_000_000, 1_500).__next__  # as on a part of a core: each look costs time
+    facade = Facade(*build(1, farm.settings()), clock, True, print)
+    batch = facade.take(None, "0" * 16, "look", 300_000, None, None, None, 0, 0, 1, False, b"")
+    while not batch.over:
+        facade.tick()
+        assert batch.over or facade.wake_at < inf, "nobody wakes the module for what it holds"
+        # Whatever comes in may start a round a little before the wake that was asked for.
+        while clock() < facade.wake_at - early_us and not batch.over:
+            pass
+    assert clock() < batch.until_us
+
+
 @pytest.mark.parametrize("text", ["", "{}", '{"name": 7', '{"name":"n","settings":{},"seed":"0","known":1}'])
 def test_a_configuration_that_cannot_be_used_is_one_line_and_code_2(text: str, tmp_path) -> None:
     config = tmp_path / "config.json"
