--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-NAMES = ("change",)
+NAMES = ("change", "fleet")
 
 
 def main() -> None:
