A held batch keeps one place in the line, so that late ones wait behind those in time

Cause: _hold pushes a batch again for its new rank when its goal nears, and the entry with the old rank stayed in the heap (_pump looked at over, out and pool only, _solve sorted both again).

Change: a batch knows its entry, and any other one is passed over.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -59,7 +59,7 @@
         self.goal = now + self.group.goal_us + int(self.group.goal_stretch * self.solo)
         self.sends, self.kills, self.tried, self.out = 0, 0, set(), {}
         self.over = self.small = self.spilt = False
-        self.ran_since = self.ran_at = self.key = self.data_set = self.course = self.pool = None
+        self.ran_since = self.ran_at = self.key = self.data_set = self.course = self.pool = self.entry = None
 
     def may_resend(self, now: int) -> bool:
         return self.ran_since is None or self.group.kind == names.REPEATABLE or (
@@ -357,8 +357,7 @@
         (self._forget if batch.over else self._review)(batch)
 
     def note(self, index, engine, sort, level, number) -> None:
-        self.engines[engine].heard = self.now
-        batch = self.batches[index]
+        self.engines[engine].heard, batch = self.now, self.batches[index]
         batch.spilt = batch.spilt or sort == names.SPILLS
         if (batch.over or number not in batch.out or sort != names.PROGRESS or not self.may_cancel
                 or batch.kills or batch.sends >= self.max_dispatches):
@@ -445,7 +444,7 @@
         live, self.solved_at = self._live(), self.now
         self.keys.resting = {key: until for key, until in self.keys.resting.items() if until > self.now}
         self.ready = {pool: held for pool, line in self.ready.items() if (
-            held := sorted(entry for entry in line if not (entry[2].over or entry[2].out)))}
+            held := sorted(each for each in line if each is each[2].entry and not each[2].over))}
         for engine in live if self.load_field is None else ():
             engine.hear_load(self.now, len(engine.out) / engine.cores)
         # Probes are priced by the batch: a gateway with little traffic asks little, each engine in turn.
@@ -468,7 +467,8 @@
         worth = late * batch.group.utility / batch.work
         if (opens := self.keys.open_at(batch)) is not None:
             held = self.later if opens > self.now else self.ready.setdefault(batch.pool, [])
-            heapq.heappush(held, (opens if opens > self.now else -worth, next(self.counter), batch))
+            batch.entry = (opens if opens > self.now else -worth, next(self.counter), batch)
+            heapq.heappush(held, batch.entry)
 
     def _hopeless(self, batch: Batch) -> bool:
         """No use left in waiting: nothing to earn, no time, or no further dispatch allowed."""
@@ -535,7 +535,7 @@
         while lines := [pool for pool, line in self.ready.items() if line and len(passed[pool]) < SKIPS]:
             pool = min(lines, key=lambda each: self.ready[each][0]) if len(lines) > 1 else lines[0]
             entry = _, _, batch = heapq.heappop(self.ready[pool])
-            if batch.over or batch.out or batch.pool is not pool:
+            if batch.over or batch.out or entry is not batch.entry:
                 continue
             if self._hopeless(batch):
                 self._give_up(batch)
