Cold engines are used by lot in large fleets, where no turn held a batch

Cause: beyond about 120 gateways a gateway's part of a cold engine, times all the turns there are, is less than a small batch (ColdGuard.left: turns bounded by cold_us // fall_us), so that cold engines stood idle until they were warm.

Change: where the part is less than a small batch, a lot is drawn for each engine and window (crc32 over seed, instance, engine and window), so that all gateways together send half of what the engine bears by then; capacity grows from the stated start.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -110,8 +110,7 @@
     def __init__(self, index: int, width: float, credit: float, now: int) -> None:
         self.index, self.credit, self.share, self.threads = index, credit, 0.0, 0
         self.window = Window(width, NARROWEST, WIDEST, now)
-        self.state, self.started, self.cold_until = names.GONE, 0, 0
-        self.load, self.load_at, self.reported = 0.0, 0, False
+        self.state, self.started, self.cold_until, self.load, self.load_at = names.GONE, 0, 0, 0.0, -inf
         self.line, self.answers = Ring(30 * PERIOD_US, 6, 5), Ring(3 * PERIOD_US, 6, 2)
         self.heard, self.shut_until, self.out, self.sent, self.bears = now, 0, {}, None, 0.0
         self.warm = deque(maxlen=8)
@@ -121,8 +120,8 @@
 
     def hear_load(self, now: int, load: float) -> None:
         """The design's moving average; the first report stands as it is."""
-        weight = 1 - exp(-(now - self.load_at) / SMOOTH_US) if self.reported else 1.0
-        self.load, self.load_at, self.reported = self.load + weight * (load - self.load), now, True
+        weight = 1 - exp(-(now - self.load_at) / SMOOTH_US)
+        self.load, self.load_at = self.load + weight * (load - self.load), now
 
 
 class Budget:
@@ -136,24 +135,26 @@
 
 class ColdGuard:
     """All gateways together must stay under the fall line, so each keeps to its part of the least capacity
-    a cold engine may have. Where that is less than a small batch they take turns of a window each, told by
-    its start, at half the budget: any window touches two turns. A gateway waits out one window of its own."""
+    a cold engine may have. Where that is less than a small batch, a lot is drawn for each window: all send
+    about half of what the engine bears by then. A gateway waits out one window of its own."""
 
-    def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, number: int,
+    def __init__(self, least: float, cold_us: int, multiple: float, fall_us: int, gateways: int, salt: object,
                  least_work: float) -> None:
         self.part, self.cold_us = 0.6 * multiple * least * REFERENCE_LOAD * fall_us / gateways, cold_us
-        self.from_us, self.fall_us, self.number, self.least_work = 0, fall_us, number, least_work
+        self.from_us, self.fall_us, self.least_work, self.salt = 0, fall_us, least_work, salt
+        self.least, self.lots = least, 0.5 * fall_us / gateways / least_work
 
     def left(self, now: int, engine: Engine) -> float:
         """Work that this gateway may still send it now; the same for the whole round but for what is sent."""
         if now >= engine.cold_until or not self.part:
             return inf
         mine, start = self.part * engine.cores, engine.started or engine.cold_until - self.cold_us
-        turns = max(1, min(self.cold_us // self.fall_us, int(2 * self.least_work / mine)))
-        if (now - start) // self.fall_us % turns != self.number % turns or now < self.from_us:
-            return 0.0
+        if mine < self.least_work:
+            warm = self.least + (1 - self.least) * max(0, now - start) / self.cold_us
+            lot = crc32(f"{self.salt}:{engine.index}:{(now - start) // self.fall_us}".encode()) / 2**32
+            mine = self.least_work if lot < self.lots * warm * engine.cores else 0.0
         engine.sent = engine.sent or Ring(self.fall_us, 10)
-        return mine * max(1, turns / 2) - engine.sent.sums(now)[0]
+        return max(0.0, mine - engine.sent.sums(now)[0]) if now >= self.from_us else 0.0
 
 
 class KeyLines:
@@ -221,7 +222,7 @@
         self.fields, self.probes, self.step_us, self.stopping = report_fields, probes, step_us, False
         self.max_dispatches, self.may_cancel, self.retry_us = max_dispatches, may_cancel, retry_us
         self.budget = Budget(*(budget or (inf, 0.0, PERIOD_US)))
-        self.cold = ColdGuard(*cold, self.gateways, instance, min(each.usual for each in self.learned))
+        self.cold = ColdGuard(*cold, self.gateways, (seed, instance), min(one.usual for one in self.learned))
         self.keys, self.ask_at = KeyLines(key_rest_us), 0 if ask_list else inf
         self.engines, self.batches, self.ready, self.later, self.wake_at = {}, {}, {}, [], 0
         self.mean_work = sum(each.usual for each in self.learned) / len(self.learned)
@@ -319,7 +320,6 @@
             heapq.heappush(self.later, (due, next(self.counter), batch))
         if course is None or (pause := course.pause(self.now)) is None:
             self._follow(batch, course, True)
-            self._review(batch)
         else:  # over the operator's limit: told at once, since waiting would only hold others up
             self._give_up(batch, pause)
 
@@ -327,7 +327,6 @@
         """After an undo what has been sent nowhere goes by the old course; the rest stays as it began."""
         if (batch := self.batches.get(index)) is not None and not batch.sends and not batch.over:
             self._follow(batch, course, False)
-            self._review(batch)
 
     def _follow(self, batch: Batch, course: names.Course | None, new: bool) -> None:
         if batch.course is not None:
@@ -335,6 +334,7 @@
         batch.course, batch.pool = course, course.pool if course else None
         if course is not None:
             course.took(self.now, new)
+        self._review(batch)
 
     def answer(self, index, number, engine, outcome, latency, complete, work_us, memory_mb, report) -> None:
         batch, engine = self.batches[index], self.engines[engine]
@@ -454,9 +454,9 @@
         self.asks, self.asked = min(self.asks - asks, 1.0), self.asked + asks
         sums = [engine.line.sums(self.now) for engine in live]
         pooled = [sum(column) for column in zip(*sums)]
-        middle = sum(engine.load for engine in live) / max(1, sum(engine.reported for engine in live))
+        middle = sum(engine.load for engine in live) / max(1, sum(engine.load_at > -inf for engine in live))
         shares = solve([engine.cores for engine in live],
-                       [max(0.0, engine.load) if engine.reported else middle for engine in live],
+                       [max(0.0, engine.load) if engine.load_at > -inf else middle for engine in live],
                        [fit(each, pooled) for each in sums],
                        [engine.share or 1 / len(live) for engine in live], 1 / self.gateways)
         for engine, share in zip(live, shares):
