The end of a client is heard at once, also while its reader rests, writes or waits

Cause, found by reading and forced on loopback sockets with the text as found. Attempts begun for a client that was gone, by the engine's own log against the moment of its close: - a client that sends 32 batches and 2,000 more lines in one go and closes (or resets): 20 attempts begun more than 0.1 s later (`assert 20 == 0`). `Session._read` rests up to 500 ms after each 8 KiB (`_rest_s`), and the end lies behind what it has not read; - an abort behind 400 such lines: called back after 0.97 s; - an abort while an error answer waits behind a slow reader: not within 1 s. `Session.fault` and `ping` wrote in the reader's own greenlet, behind the answers' lock, for up to 2 s; - a close after a line that cannot be read: not within 0.8 s; `serve` joined `answering` without reading on; - a dial that comes up in the same turn of the loop as the close: POST sent (`['POST'] == []`); `Facade.stands` asked what had been heard, not what lay in the socket; - a step decided just before: the engine was dialled for it. Ruled out: a dispatch decided after `leave` (the round hears `withdrawn` first), one that waits in `follows`, `borrow` or `_take_room` (`stands` comes after all of them).

Change: while it rests the reader goes on reading, as far as a line's bytes may wait anyhow (`Lines.ahead`); the end counts at once and so does an abort; beyond that room the end is polled for each 25 ms. Error answers and pings are written by a greenlet of their own. After a line that cannot be read the reader goes on to the client's end, and this side is ended once what was taken is answered. `Facade.stands` lets the reader take what lies in the batch's socket.

--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from itertools import count
+from typing import Protocol
 
 from gevent.queue import SimpleQueue
 
@@ -17,14 +18,22 @@
         self.how, self.retry_us, self.rows = how, retry_us, rows
 
 
+class Source(Protocol):
+    """Where a batch came from; None stands for a caller that leaves by `Facade.leave` alone."""
+
+    def catch_up(self) -> None: ...
+
+
 class Batch:
     """What the gateway itself needs of an open batch; what decides on it lies in the module."""
 
-    __slots__ = ("index", "ticket", "group", "nonce", "key", "statement", "until_us", "steps", "over",
-                 "sent", "out", "priority", "grant_mb", "told", "course", "taken_us", "goal_us", "watch")
+    __slots__ = ("index", "source", "ticket", "group", "nonce", "key", "statement", "until_us", "steps",
+                 "over", "sent", "out", "priority", "grant_mb", "told", "course", "taken_us", "goal_us",
+                 "watch")
 
-    def __init__(self, index: int, ticket: str, group: str, nonce: str | None, key: str | None,
-                 statement: bytes, until_us: int) -> None:
+    def __init__(self, index: int, source: Source | None, ticket: str, group: str, nonce: str | None,
+                 key: str | None, statement: bytes, until_us: int) -> None:
+        self.source = source
         self.index, self.ticket, self.group, self.nonce, self.key = index, ticket, group, nonce, key
         self.statement, self.until_us = statement, until_us
         self.steps: SimpleQueue = SimpleQueue()
@@ -70,9 +79,9 @@
     def __init__(self) -> None:
         self.numbers, self.by_index, self.tickets = count(), {}, set()
 
-    def open(self, ticket: str, group: str, nonce: str | None, key: str | None, statement: bytes,
-             until_us: int) -> Batch:
-        batch = Batch(next(self.numbers), ticket, group, nonce, key, statement, until_us)
+    def open(self, source: Source | None, ticket: str, group: str, nonce: str | None, key: str | None,
+             statement: bytes, until_us: int) -> Batch:
+        batch = Batch(next(self.numbers), source, ticket, group, nonce, key, statement, until_us)
         self.by_index[batch.index] = batch
         self.tickets.add(ticket)
         return batch
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -14,7 +14,7 @@
 from gevent.queue import Empty
 
 from pathturn.core import interface as names
-from pathturn.memory.batches import Batch, Dispatch, End, OpenBatches
+from pathturn.memory.batches import Batch, Dispatch, End, OpenBatches, Source
 from pathturn.memory.roster import Roster
 
 if TYPE_CHECKING:  # imported when enabled only: plain serve has no routes
@@ -58,11 +58,11 @@
     def is_open(self, ticket: str) -> bool:
         return ticket in self.batches.tickets
 
-    def take(self, source: object, ticket: str, group: str, left_us: int, nonce: str | None,
+    def take(self, source: Source | None, ticket: str, group: str, left_us: int, nonce: str | None,
              key: str | None, customer: str | None, work_us: int, memory_mb: float, data_set: int,
              repeat: bool, statement: bytes) -> Batch:
         until_us = self.clock() + left_us - self._waited_us()
-        batch = self.batches.open(ticket, group, nonce, key, statement, until_us)
+        batch = self.batches.open(source, ticket, group, nonce, key, statement, until_us)
         if self.router is not None:
             batch.told = self.traits(group, customer, key, data_set, ticket)
             batch.course, batch.taken_us = self.router.course(batch.told), self.clock()
@@ -127,7 +127,10 @@
 
     # For the engines' side.
     def stands(self, dispatch: Dispatch) -> bool:
-        """Whether a dispatch that waited for a connection may still begin: drains and aborts come too."""
+        """Whether a dispatch that waited for a connection may still begin: drains and aborts come too. Asked
+        last before its first byte, so what the client has said by then is heard first."""
+        if (source := dispatch.batch.source) is not None and not dispatch.batch.over:
+            source.catch_up()
         return not dispatch.batch.over and dispatch.engine in self.roster.ready
 
     def note(self, dispatch: Dispatch, sort: int, level: float) -> None:
--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -11,10 +11,10 @@
 
 from pathturn.core import interface as names
 from pathturn.memory.batches import Batch, Dispatch, End
-from pathturn.memory.buffers import Buffers
+from pathturn.memory.buffers import SIZE, Buffers
 from pathturn.memory.facade import Facade
 from pathturn.wire import jsonrpc
-from pathturn.wire.line import quiet
+from pathturn.wire.line import hung_up, quiet
 from pathturn.wire.statement import data_set
 
 # The protocol's figures: so many open batches on a connection, which clients close when idle for 4 s.
@@ -31,6 +31,14 @@
 # So much a connection is taken to ask for: a line each millisecond, and far fewer that are turned away, as
 # those often come back at once. For what is beyond a burst its reader rests, and the others do not.
 LINE_US, FAULT_US, BURST_US, LONGEST_REST_US = 1_000, 50_000, 100_000, 500_000
+# Where no more can be read ahead the end is looked for this often: a batch of a client that left is owed
+# nothing more, and the protocol wants that known within 0.1 s.
+ABORT, LOOK_US = b'"abort"', 25_000
+# A reader takes a turn of the event loop to wake, one to read what is there, and one for what came meanwhile.
+TURNS = 3
+# Ten times as long as a batch may cross this side's end by the protocol; a client that has not closed by then
+# will not.
+LINGER_US = 500_000
 
 
 class Session:
@@ -40,47 +48,66 @@
         self.writing, self.open, self.answering, self.taken = RLock(), {}, Group(), 0
         self.lines, self.code, self.last, self.faults = jsonrpc.Lines(longest_line), "", 0, 0
         self.heard_us, self.half_us, self.proven, self.paced_us = facade.clock(), 0, False, 0
-        self.parted = False
+        self.asides, self.aside_bytes = [], 0
+
+    # When this side was ended, and whether what still comes is thrown away.
+    parted_us, deaf = 0, False
 
     def serve(self) -> str:
         """Reads until the connection ends; returns the code for why it did."""
         try:
             self.link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            return self._read()
+            try:
+                return self._read()
+            except jsonrpc.Unusable as fault:
+                self.fault(None, jsonrpc.MALFORMED)
+                return self._see_off(str(fault))
+            except OSError:
+                raise
+            except Exception as fault:  # noqa: BLE001 - whatever a client sent must end its own connection alone
+                return self._see_off(f"fault_{type(fault).__name__}")
         except OSError as fault:
             return self.code or f"lost_{type(fault).__name__}"
-        except jsonrpc.Unusable as fault:
-            # Whatever was taken before is still owed its answer.
-            self.fault(None, jsonrpc.MALFORMED)
-            self.answering.join()
-            return str(fault)
-        except Exception as fault:  # noqa: BLE001 - whatever a client sent must end its own connection alone
-            self.answering.join()
-            return f"fault_{type(fault).__name__}"
         finally:
             for batch in list(self.open.values()):
                 self.facade.leave(batch)
             self.link.close()
 
     def end(self, code: str) -> None:
-        """Ends the connection from outside; its reader wakes and logs why."""
+        """Ends the connection from outside; its reader wakes and logs why. Only where nothing that was
+        written may still be on its way: with bytes unread the system would reset it, and take that away."""
         self.code = self.code or code
         self.link.close()
 
     def part(self, code: str) -> None:
         """Ends it from this side alone: closed with bytes unread, the system would reset it, and take from
         the client the answers it has not read yet. Its reader goes on to the client's own end."""
-        self.code, self.parted = self.code or code, True
+        self.code, self.deaf = self.code or code, True
+        self.parted_us = self.parted_us or self.facade.clock()
         with suppress(OSError):
             self.link.shutdown(socket.SHUT_WR)
 
+    def _see_off(self, code: str) -> str:
+        """Nothing more of it can be trusted, but what was taken before is still owed its answer; unless the
+        client leaves first, which is heard all the while."""
+        self.code, self.deaf = self.code or code, True
+        gevent.spawn(self._part_once_answered)
+        return self._read()
+
+    def _part_once_answered(self) -> None:
+        self.answering.join()
+        if not self.link.closed:
+            self.part(self.code)
+
     def at_rest(self) -> bool:
         """Whether nothing is lost if it gives way: no answer owed or being written, and no batch on its way
         from a usual client, be it half a line or what lies unread."""
-        return not self.answering and not (self.proven and (self.lines.rest or not quiet(self.link)))
+        return not self.answering and not (self.proven and (self.lines.waiting or not quiet(self.link)))
 
     def overdue(self, now: int) -> str | None:
         """The code with which it is to end, if it holds its place for nothing."""
+        if self.parted_us:
+            return "parted" if now - self.parted_us > LINGER_US else None
         if self.answering:
             return None
         idle_s = (now - self.heard_us) / 1e6
@@ -88,28 +115,66 @@
             return "silent"
         if self.lines.rest and (now - self.half_us) / 1e6 > HALF_S:
             return "half_line"
-        return "idle" if not self.lines.rest and idle_s > IDLE_S and quiet(self.link) else None
+        return "idle" if not self.lines.waiting and idle_s > IDLE_S and quiet(self.link) else None
+
+    def catch_up(self) -> None:
+        """Lets the reader take what lies in the socket, in the name of a batch that is to go out: an end or
+        an abort among it was there before. After a standstill a dial that came up may be looked at first."""
+        for _ in range(TURNS):
+            if quiet(self.link):
+                return
+            gevent.sleep(0)
 
     def _read(self) -> str:
         while True:
-            with self.buffers.lent() as buffer:
-                size = self.link.recv_into(buffer)
-                if not size:
-                    return self.code or "client_closed"
-                faults, halves, lines = self.faults, bool(self.lines.rest), 0
-                # What crosses this side's end its client sends again elsewhere.
-                for line in () if self.parted else self.lines.feed(buffer[:size]):
-                    self.proven, halves, self.heard_us, lines = True, False, self.facade.clock(), lines + 1
-                    jsonrpc.read(line, self)
-                if self.lines.rest and not halves:
-                    self.half_us = self.facade.clock()
+            if self.lines.ahead:
+                piece = bytes(self.lines.ahead[:SIZE])
+                del self.lines.ahead[:SIZE]
+                self._take(memoryview(piece))
+            else:
+                with self.buffers.lent() as buffer:
+                    if not (size := self.link.recv_into(buffer)):
+                        return self.code or "client_closed"
+                    self._take(buffer[:size])
             # Also where there is nothing to pay for: a socket that always has more never lets others run.
-            gevent.sleep(self._rest_s(lines, self.faults - faults))
+            gevent.sleep(0)
+            if not self._rest():
+                return self.code or "client_closed"
 
-    def _rest_s(self, lines: int, faults: int) -> float:
+    def _take(self, piece: memoryview) -> None:
+        if self.deaf:
+            return  # what crosses this side's end its client sends again elsewhere
+        faults, halves, lines = self.faults, bool(self.lines.rest), 0
+        for line in self.lines.feed(piece):
+            self.proven, halves, self.heard_us, lines = True, False, self.facade.clock(), lines + 1
+            jsonrpc.read(line, self)
+        if self.lines.rest and not halves:
+            self.half_us = self.facade.clock()
         now = self.facade.clock()
-        self.paced_us = max(self.paced_us, now - BURST_US) + lines * LINE_US + faults * FAULT_US
-        return min(LONGEST_REST_US, max(0, self.paced_us - now)) / 1e6
+        self.paced_us = max(self.paced_us, now - BURST_US) + lines * LINE_US
+        self.paced_us += (self.faults - faults) * FAULT_US
+
+    def _rest(self) -> bool:
+        """Until it is paid for what was asked. Reading goes on meanwhile, as far as there is room: the
+        client's end counts at once, and so does an abort. False at that end."""
+        if self.deaf:
+            if not self.parted_us:
+                gevent.sleep(LOOK_US / 1e6)
+            return self.parted_us > 0 or not hung_up(self.link)
+        until = min(self.paced_us, self.facade.clock() + LONGEST_REST_US)
+        while (not self.deaf and ABORT not in self.lines.ahead
+               and (left := until - self.facade.clock()) > 0):
+            if not (room := min(SIZE, self.lines.room)):
+                if hung_up(self.link):
+                    return False
+                gevent.sleep(min(left, LOOK_US) / 1e6)
+                continue
+            with gevent.Timeout(left / 1e6, False), self.buffers.lent() as buffer:
+                if not (size := self.link.recv_into(buffer[:room])):
+                    return False
+                self.lines.ahead += buffer[:size]
+                gevent.sleep(0)
+        return True
 
     def _write(self, line: bytes) -> None:
         with self.writing:
@@ -120,6 +185,22 @@
                 # The reader is woken and logs it.
                 self.end("unread" if isinstance(fault, TimeoutError) else f"lost_{type(fault).__name__}")
 
+    def _write_aside(self, line: bytes) -> None:
+        """What no batch waits for. Not by the reader: behind a client that does not read it would hear of
+        that client's end, and of its aborts, only seconds later."""
+        self.asides.append(line)
+        self.aside_bytes += len(line)
+        if self.aside_bytes > self.lines.longest:
+            self.end("unread")
+        elif self.aside_bytes == len(line):
+            self.answering.spawn(self._write_asides)
+
+    def _write_asides(self) -> None:
+        while self.asides:
+            lines, self.asides = b"".join(self.asides), []
+            self._write(lines)
+            self.aside_bytes -= len(lines)
+
     # What a line may ask for; the decoder calls these.
     def group(self, method: str) -> names.ServiceGroup | None:
         return self.facade.group(method)
@@ -139,11 +220,11 @@
         return True
 
     def ping(self, number: Any) -> None:
-        self._write(jsonrpc.healthy(number, self.ready()))
+        self._write_aside(jsonrpc.healthy(number, self.ready()))
 
     def fault(self, number: Any, code: int) -> None:
         self.faults += 1
-        self._write(jsonrpc.errored(number, code))
+        self._write_aside(jsonrpc.errored(number, code))
 
     def abort(self, number: Any) -> None:
         if type(number) is int and (batch := self.open.get(number)) is not None:
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -39,7 +39,7 @@
 
     def _carry(self, dispatch: Dispatch) -> None:
         trip, runner = Trip(dispatch, self.pools), gevent.getcurrent()
-        if dispatch.called_back:
+        if dispatch.called_back or dispatch.batch.over:  # its client may have left since it was decided
             self._done(trip, names.UNSENT)
             return
         # Only from here on: a greenlet killed before its first step would never report an outcome.
--- a/pathturn/wire/jsonrpc.py
+++ b/pathturn/wire/jsonrpc.py
@@ -22,10 +22,21 @@
 
 class Lines:
     """Cuts a stream into lines, whatever pieces it comes in. A line that never ends must not fill the memory,
-    nor have what there is of it searched again with each piece."""
+    nor have what there is of it searched again with each piece. `ahead` is what was read before its time, to
+    hear what lies behind it; together with a line's rest it takes no more than a line may."""
 
     def __init__(self, longest: int) -> None:
-        self.longest, self.rest = longest, bytearray()
+        self.longest, self.rest, self.ahead = longest, bytearray(), bytearray()
+
+    @property
+    def room(self) -> int:
+        """How many bytes more may be read ahead."""
+        return max(0, self.longest - len(self.rest) - len(self.ahead))
+
+    @property
+    def waiting(self) -> bool:
+        """Whether there is more than whole lines that have been looked at."""
+        return bool(self.rest or self.ahead)
 
     def feed(self, piece: memoryview) -> Iterator[bytes]:
         parts = bytes(piece).split(b"\n")
--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -1,5 +1,6 @@
 """One connection to an engine: blocking calls, one at a time."""
 
+import select
 import struct
 from collections.abc import Callable
 
@@ -12,6 +13,10 @@
 # Closes at once, with nothing that still waits in the system sent on.
 TORN = struct.pack("ii", 1, 0)
 
+# An answer like the one before it, so soon after it was asked for, is taken for a second copy of that one:
+# news of a query that goes on is the same only after the protocol's 250 ms.
+TWICE_S = 0.025
+ENDED = select.POLLRDHUP | select.POLLERR | select.POLLHUP
 
 class Unreachable(Exception):
     """No connection came up, which proves that nothing ran; refused, that no process is there."""
@@ -45,6 +50,15 @@
 
 
 class Line:
+def hung_up(link: socket.socket) -> bool:
+    """Whether the peer has ended it, also where bytes before that end lie unread."""
+    if link.closed:
+        return True
+    poll = select.poll()
+    poll.register(link.fileno(), select.POLLRDHUP)
+    return any(found & ENDED for _, found in poll.poll(0))
+
+
     def __init__(self, place: Place, dial_s: float, buffers: Buffers, log: Callable[[str], None]) -> None:
         _, address = self.place = place
         self.host = f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/tests/test_close_range.py
@@ -0,0 +1,162 @@
+"""The instants in which something is still owed. Each crossing is forced: a dial, a write, an answer or a
+read is held at a named point and let go on a signal. The judge is what client and engines saw, and when."""
+
+import os
+from time import monotonic
+
+import gevent
+import orjson
+import pytest
+from gevent import socket
+from gevent.event import Event
+from test_stop import line
+
+HEARD_S = 0.1  # by the protocol nothing begins later than that after its client left
+UNKNOWN = b'{"jsonrpc":"2.0","id":%d,"method":"none"}\n'
+
+
+def begun_after(rig, at: float, slack: float = HEARD_S) -> int:
+    return sum(posted > at + slack for engine in rig.engines.values() for posted in engine.posted)
+
+
+def descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+def given_up(engine) -> int:
+    return sum(each[0] == "DELETE" for each in engine.asked)
+
+
+def until(holds, within: float = 3.0) -> float:
+    """When it came to hold."""
+    with gevent.Timeout(within, AssertionError("it never came to hold")):
+        while not holds():
+            gevent.sleep(0.002)
+    return monotonic()
+
+
+class Held:
+    """Holds whoever calls it until `go`; `came` tells that somebody is there."""
+
+    def __init__(self, call) -> None:
+        self.call, self.came, self.go = call, Event(), Event()
+
+    def __call__(self, *given, **named):
+        self.came.set()
+        self.go.wait()
+        return self.call(*given, **named)
+
+
+# A client that leaves is heard at once.
+
+@pytest.mark.parametrize("torn", [False, True])
+def test_a_client_that_sends_much_at_once_and_goes_has_nothing_begun_for_it(rig, torn) -> None:
+    """Its reader rests between pieces, since so much is asked for; the end lies behind them."""
+    rig.engine("e", "runs:150")
+    rig.start()
+    many = b"".join(line(number) for number in range(1, 33))
+    many += b"".join(UNKNOWN % number for number in range(33, 2000))
+    with socket.create_connection(rig.listen) as link:
+        link.sendall(many)
+        until(lambda: len(rig.engines["e"].posted) >= 4)
+        if not torn:
+            link.shutdown(socket.SHUT_WR)
+        left = monotonic()
+    until(lambda: not len(rig.gateway.facade.batches), 2)
+    gevent.sleep(0.5)
+    assert begun_after(rig, left) == 0
+
+
+def test_an_abort_behind_much_else_is_heard_at_once(rig) -> None:
+    rig.engine("e", "runs:5000")
+    rig.start()
+    with socket.create_connection(rig.listen) as link:
+        link.sendall(line(1))
+        until(lambda: rig.engines["e"].posted)
+        link.sendall(b"".join(UNKNOWN % number for number in range(2, 400)))
+        gevent.sleep(0.05)  # by now its reader rests
+        link.sendall(b'{"jsonrpc":"2.0","method":"abort","params":{"id":1}}\n')
+        at = monotonic()
+        assert until(lambda: given_up(rig.engines["e"])) - at < HEARD_S
+
+
+def test_an_abort_is_heard_though_the_client_does_not_read(rig) -> None:
+    """An error answer waits to be written behind a slow reader."""
+    rig.engine("e", "runs:5000")
+    rig.start()
+    rig.call(1, "look", patience=1400)
+    until(lambda: rig.engines["e"].posted)
+    (slow,) = rig.gateway.sessions.held
+    with slow.writing:
+        rig.say(id=2, method="none")
+        gevent.sleep(0.05)
+        rig.abort(1)
+        at = monotonic()
+        assert until(lambda: given_up(rig.engines["e"]), 1) - at < HEARD_S
+    rig.errored(2)
+
+
+def test_a_client_that_goes_after_what_cannot_be_read_is_heard_at_once(rig) -> None:
+    """What it sent before that is still owed its answer, but only while it is there."""
+    rig.engine("e", "runs:1000")
+    rig.start()
+    with socket.create_connection(rig.listen) as link:
+        link.sendall(line(1) + b"\x00 no line\n")
+        until(lambda: rig.engines["e"].posted)
+        gevent.sleep(0.05)
+    at = monotonic()
+    assert until(lambda: given_up(rig.engines["e"]), 0.8) - at < HEARD_S
+
+
+def test_what_was_taken_before_what_cannot_be_read_is_answered_and_then_the_end_comes(rig) -> None:
+    rig.engine("e", "runs:200")
+    rig.start()
+    with socket.create_connection(rig.listen) as link, gevent.Timeout(2):
+        link.sendall(line(1) + b"\x00 no line\n" + line(2))
+        with link.makefile("rb") as read:
+            told = [orjson.loads(each) for each in read]
+    assert sorted((each["id"] or 0, "result" in each) for each in told) == [(0, False), (1, True)]
+    rig.asked("e", "POST", 1)
+
+
+def test_a_dial_that_comes_up_as_its_client_goes_carries_nothing(rig, monkeypatch) -> None:
+    """Both lie ready in the same turn of the loop, and the dial is looked at first."""
+    rig.engine("e")
+    rig.start()
+    client = socket.create_connection(rig.listen)
+    held = {}
+
+    class Slow(socket.socket):
+        def connect(self, address):
+            if address == rig.engines["e"].server.address:
+                held["dial"] = Held(super().connect)
+                return held["dial"](address)
+            return super().connect(address)
+
+    monkeypatch.setattr("pathturn.wire.line.socket.socket", Slow)
+    client.sendall(line(1))
+    until(lambda: "dial" in held and held["dial"].came.is_set())
+    held["dial"].go.set()
+    client.close()
+    gevent.sleep(0.3)
+    assert [each[0] for each in rig.engines["e"].asked] == []
+    rig.idle()
+
+
+def test_what_was_decided_before_its_client_left_is_not_dialled_for(rig, monkeypatch) -> None:
+    rig.engine("e")
+    rig.start()
+    facade, dialled, decided = rig.gateway.facade, [], []
+    monkeypatch.setattr(rig.gateway.pools, "dial", lambda *told: dialled.append(told) or 1 // 0)
+    decide = facade.dispatch
+
+    def leave_at_once(batch, engine, limit_us):
+        decide(batch, engine, limit_us)
+        decided.append(batch)
+        facade.leave(facade.batches.by_index[batch])
+
+    monkeypatch.setattr(facade, "dispatch", leave_at_once)
+    rig.call(1, "look")
+    until(lambda: decided)
+    until(lambda: not len(facade.batches), 1)
+    assert dialled == []
