What gives way is ended from this side first; no crowd takes descriptors of others

Cause, by reading, forced on loopback sockets with the text as found: - `Session.end` closed at once. A batch that arrives between the look at the socket (`at_rest`) and the close has the system reset the connection and takes the answer that the client had not read yet: `ConnectionResetError` at the client in place of its rows. - `StreamServer` accepts up to 100 at one go, and the greenlet that turns each away runs only after that: with 64 descriptors and 28 of them for clients, 90 clients that came at once held 90 more (`((265 - 85) - 90) <= 28 + 1` fails), which are those of dials and of the directory's questions. Ruled out: the share of idle clients itself (a process with 96 descriptors in all, 200 idle clients and a silent directory goes on taking, dialling and stopping on the old text as well), usual batches on a connection that is ended as idle (its last answer is 5 s old).

The listener (`wire/door.py`) turns away in the turn that accepts.

--- a/pathturn/memory/sessions.py
+++ b/pathturn/memory/sessions.py
@@ -6,6 +6,7 @@
 
 class Held(Protocol):
     heard_us: int
+    parted_us: int
 
     def at_rest(self) -> bool: ...
     def overdue(self, now: int) -> str | None: ...
@@ -14,8 +15,13 @@
 
 
 class Sessions:
-    def __init__(self, cap: int, clock: Callable[[], int]) -> None:
-        self.cap, self.clock, self.held = cap, clock, set()
+    """`held` are served; `parting` have been ended from this side and are read on to their clients' end, so
+    many at most, out of the descriptors that are lent to nobody."""
+
+    def __init__(self, cap: int, parting: int, clock: Callable[[], int]) -> None:
+        self.cap, self.most_parting, self.clock = cap, parting, clock
+        self.held: set[Held] = set()
+        self.parting: dict[Held, None] = {}
 
     def enter(self, session: Held) -> bool:
         """Accepting never stops: at the cap whoever has been idle longest gives way, else the newcomer."""
@@ -23,13 +29,16 @@
             resting = (each for each in self.held if each.at_rest())
             if (longest := min(resting, key=lambda each: each.heard_us, default=None)) is None:
                 return False
-            self.leave(longest)
-            longest.end("gave_way")
+            self._part(longest, "gave_way")
         self.held.add(session)
         return True
 
     def leave(self, session: Held) -> None:
         self.held.discard(session)
+        self.parting.pop(session, None)
+
+    def __len__(self) -> int:
+        return len(self.held) + len(self.parting)
 
     def busy(self) -> bool:
         """Whether something would be lost if all ended now."""
@@ -41,6 +50,20 @@
 
     def prune(self) -> None:
         now = self.clock()
-        for session in list(self.held):
+        for session in [*self.held, *self.parting]:
             if (code := session.overdue(now)) is not None:
-                session.end(code)
+                self._part(session, code)
+
+    def _part(self, session: Held, code: str) -> None:
+        """From this side first; for good where that was done long ago, or too many are under way."""
+        if session.parted_us:
+            self.leave(session)
+            session.end(code)
+            return
+        self.held.discard(session)
+        self.parting[session] = None
+        session.part(code)
+        if len(self.parting) > self.most_parting:
+            oldest = next(iter(self.parting))
+            self.leave(oldest)
+            oldest.end(code)
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -9,7 +9,6 @@
 from gevent import socket
 from gevent.event import Event
 from gevent.pool import Group
-from gevent.server import StreamServer
 
 from pathturn.core import interface as names
 from pathturn.memory.buffers import Buffers
@@ -17,11 +16,12 @@
 from pathturn.memory.pools import Pools
 from pathturn.memory.sessions import Sessions
 from pathturn.process.clock import unix_clock
-from pathturn.process.limits import longest_line, shares
+from pathturn.process.limits import PARTING, longest_line, shares
 from pathturn.process.log import Log
 from pathturn.process.settings import build
 from pathturn.wire import directory
 from pathturn.wire.clients import Session
+from pathturn.wire.door import Door
 from pathturn.wire.engines import Engines
 from pathturn.wire.line import Line
 from pathturn.wire.lookup import Lookup
@@ -50,7 +50,7 @@
                              bool((settings.get("domain") or {}).get("costInAnswers")), self.log)
         clients, engines = shares(told["limits"]["sockets"])
         self.longest_line = longest_line(told["limits"]["memory_mb"], clients)
-        self.buffers, self.sessions = Buffers(), Sessions(clients, self.clock)
+        self.buffers, self.sessions = Buffers(), Sessions(clients, PARTING, self.clock)
         self.pools = Pools(engines, limits.get("idleCloseUs") or 1_000_000,
                            limits.get("dialTimeoutUs") or 250_000, self.clock,
                            lambda place, dial_s: Line(place, dial_s, self.buffers, self.log), self.log)
@@ -69,7 +69,7 @@
 
             self.operator = operator.Operator(installation, self.facade, settings, clients, self.clock,
                                               self.log)
-        self.server = StreamServer(directory.address(told["listen"]), self._client, backlog=1024)
+        self.server = Door(directory.address(told["listen"]), self._admit, self._client)
 
     def run(self) -> None:
         """Serves, once its server has been started, until a stop is asked for and nothing taken is open."""
@@ -109,11 +109,15 @@
             except Exception:  # noqa: BLE001 - the other batches are owed their answers whatever went wrong
                 self.log("round failed: " + traceback.format_exc().replace("\n", " | "))
 
-    def _client(self, link: socket.socket, peer: tuple[str, int]) -> None:
+    def _admit(self, link: socket.socket, peer: tuple[str, int]) -> Session | None:
         session = Session(link, self.facade, self.engines.send, self.buffers,
                           lambda: not self.asked_to_stop.is_set(), self.longest_line)
-        if not self.sessions.enter(session):
-            session.end("no_room")
+        if self.sessions.enter(session):
+            return session
+        self.log(f"client {peer[0]}:{peer[1]} taken=0 code=no_room")
+        return None
+
+    def _client(self, session: Session, peer: tuple[str, int]) -> None:
         code = session.serve()
         self.sessions.leave(session)
         self.log(f"client {peer[0]}:{peer[1]} taken={session.taken} code={code}")
@@ -140,20 +144,16 @@
         self.facade.stop(int(ENDED * left_s * 1e6))
         self._wait(WRITTEN * left_s, lambda: len(self.facade.batches) or self.sessions.busy())
         self.sessions.part("stopped")
-        self._wait((PARTED - WRITTEN) * left_s, lambda: self.sessions.held)
+        self._wait((PARTED - WRITTEN) * left_s, lambda: len(self.sessions))
         if self.operator is not None:
             self.operator.close()
-        self.log(f"stopped open={len(self.facade.batches)} clients={len(self.sessions.held)}")
+        self.log(f"stopped open={len(self.facade.batches)} clients={len(self.sessions)}")
 
     def _close_door(self) -> None:
-        """What the system has accepted may hold a batch, and would be reset: after a standstill this timer
-        comes before the listener is looked at."""
         try:
-            while (found := self.server.do_read()) is not None:
-                self.server.do_handle(*found)
+            self.server.close_after_all()
         except OSError as fault:
             self.log(f"listener code=lost_{type(fault).__name__}")
-        self.server.close()
 
     def _wait(self, seconds: float, on: Callable[[], object]) -> None:
         with gevent.Timeout(seconds, False):
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -2,6 +2,10 @@
 read is held at a named point and let go on a signal. The judge is what client and engines saw, and when."""
 
 import os
+import resource
+import socket as plain
+import subprocess
+from contextlib import suppress
 from time import monotonic
 
 import gevent
@@ -9,7 +13,9 @@
 import pytest
 from gevent import socket
 from gevent.event import Event
-from test_stop import line
+from test_stop import Site, line
+
+from pathturn.wire.lookup import EVERY_S
 
 HEARD_S = 0.1  # by the protocol nothing begins later than that after its client left
 UNKNOWN = b'{"jsonrpc":"2.0","id":%d,"method":"none"}\n'
@@ -160,3 +166,112 @@
     until(lambda: decided)
     until(lambda: not len(facade.batches), 1)
     assert dialled == []
+
+
+# A connection that gives way loses nothing that was written on it.
+
+def test_a_batch_that_crosses_giving_way_does_not_take_the_answer_before_it(rig, monkeypatch) -> None:
+    """Between the look at its socket and the end a batch arrives; closed over that, the connection would be
+    reset, and the answer that its client has not read yet be gone."""
+    rig.sockets(64)
+    rig.engine("e")
+    rig.start()
+    cap = rig.gateway.sessions.cap
+    client = socket.create_connection(rig.listen)
+    client.sendall(line(1))
+    until(lambda: any(each.taken and not each.answering for each in rig.gateway.sessions.held))
+    session = next(each for each in rig.gateway.sessions.held if each.taken)
+    session.heard_us = 0  # idle for longest
+    at_rest = type(session).at_rest
+
+    def crossed(self):
+        found = at_rest(self)
+        if found and self is session:
+            client.sendall(line(2))
+        return found
+
+    monkeypatch.setattr(type(session), "at_rest", crossed)
+    others = [socket.create_connection(rig.listen) for _ in range(cap)]
+    gevent.sleep(0.2)
+    with gevent.Timeout(2), client.makefile("rb") as read:
+        told = [orjson.loads(each)["id"] for each in read]
+    assert told == [1]
+    rig.asked("e", "POST", 1)
+    for each in others:
+        each.close()
+
+
+def test_a_client_that_never_closes_after_it_gave_way_is_ended_for_good(rig) -> None:
+    rig.sockets(64)
+    rig.engine("e")
+    rig.start()
+    cap = rig.gateway.sessions.cap
+    others = [socket.create_connection(rig.listen) for _ in range(3 * cap)]
+    sessions = rig.gateway.sessions
+    until(lambda: len(sessions) <= cap + sessions.most_parting)
+    assert len(sessions) <= cap + sessions.most_parting
+    until(lambda: len(sessions) <= 1, 5)
+    for each in others:
+        each.close()
+
+
+# Descriptors are short, and the directory is down.
+
+def test_a_crowd_accepted_at_once_takes_no_descriptor_that_is_lent_to_others(rig, monkeypatch) -> None:
+    rig.sockets(64)
+    rig.engine("e")
+    rig.start()
+    sessions, most = rig.gateway.sessions, []
+    enter, before = sessions.enter, descriptors()
+    monkeypatch.setattr(sessions, "enter", lambda session: most.append(descriptors()) or enter(session))
+    crowd = [plain.create_connection(rig.listen) for _ in range(90)]  # all there before one is accepted
+    until(lambda: len(most) >= 90)
+    assert max(most) - before - len(crowd) <= sessions.cap + sessions.most_parting + 1
+    for each in crowd:
+        each.close()
+
+
+def test_idle_clients_that_fill_the_descriptors_stop_neither_list_nor_dials_nor_a_stop(tmp_path) -> None:
+    site = Site(tmp_path)
+    site.limit = 96
+    site.engine("e")
+    site.engine("f")
+    site.silent = True
+
+    def narrow():
+        resource.setrlimit(resource.RLIMIT_NOFILE, (site.limit, site.limit))
+
+    popen = subprocess.Popen
+
+    def start(words, **more):
+        return popen(words, preexec_fn=narrow, **more)
+
+    subprocess.Popen = start
+    try:
+        with site.process():
+            crowd = [socket.create_connection(site.listen) for _ in range(200)]
+            for _ in range(3):
+                for each in crowd[::2]:
+                    with suppress(OSError):
+                        each.sendall(b'{"jsonrpc":"2.0","id":1,"method":"ping"}\n')
+                gevent.sleep(0.1)
+            caller = site.caller()
+            for _ in range(20):
+                caller.send("look")
+            until(lambda: sum(caller.ends["look"].values()) == 20)
+            assert caller.ends["look"]["returned"] == 20
+            site.silent = False
+            site.change("e", "draining")
+            gevent.sleep(4 * EVERY_S)
+            seen = len(site.engines["e"].posts())
+            late = site.caller()
+            for _ in range(20):
+                late.send("look")
+            until(lambda: sum(late.ends["look"].values()) == 20)
+            assert len(site.engines["e"].posts()) == seen and late.ends["look"]["returned"] == 20
+            site.term()
+            site.ended(3.7)
+            for each in crowd:
+                each.close()
+    finally:
+        subprocess.Popen = popen
