The directory is asked at the same pace whether or not it answers

Cause: `Lookup._follow` waited for each answer for up to 0.5 s before it paused for the next question. A change counts as told once its answer was sent; where that answer is lost on the way the next question came 0.75 s later (measured on loopback with the text as found: 0.754 s, wanted 0.25 s and an answer's way), and as long as the directory was silent. A question that found no descriptor was passed over without a word.

Ruled out: a list of the same or a lower number that hides a drain (numbers carry on over a reload, and an older list changes nothing); the old directory's last answer as a measure of the new one's first (`follow` forgets it); a list behind a reload asked for late (asked at once).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -244,7 +244,7 @@
         if self.gateway is not None:
             self.gateway.server.stop(0)
             self.gateway.parts.kill()
-            self.gateway.lookup.following.kill()
+            self.gateway.lookup.stop()
             if self.gateway.operator is not None:
                 self.gateway.operator.close()
         gevent.killall(self.greenlets)
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -275,3 +275,66 @@
                 each.close()
     finally:
         subprocess.Popen = popen
+
+
+# A list that goes quiet.
+
+def test_a_directory_answer_that_is_lost_does_not_hold_up_the_next(rig, monkeypatch) -> None:
+    rig.engine("e")
+    rig.engine("f")
+    asked, answer = [], rig.directory
+
+    def lossy(packet, peer):
+        asked.append(monotonic())
+        if "e" in rig.states and rig.states["e"] == "draining" and not lost:
+            lost.append(monotonic())
+            return
+        answer(packet, peer)
+
+    lost = []
+    monkeypatch.setattr(rig, "directory", lossy)
+    rig.start()
+    until(lambda: len(asked) >= 2)
+    rig.change("e", "draining")
+    until(lambda: lost)
+    heard = until(lambda: len(rig.gateway.facade.roster.ready) == 1)
+    assert heard - lost[0] < EVERY_S + 0.15
+
+
+def test_a_directory_that_answers_later_than_it_is_asked_is_heard(rig, monkeypatch) -> None:
+    rig.engine("e")
+    rig.engine("f")
+    answer = rig.directory
+    monkeypatch.setattr(rig, "directory", lambda *told: gevent.sleep(0.4) or answer(*told))
+    rig.start()
+    rig.change("e", "draining")
+    until(lambda: len(rig.gateway.facade.roster.ready) == 1, 2)
+
+
+def test_an_older_list_that_overtakes_a_newer_one_brings_nothing_back(rig, monkeypatch) -> None:
+    """Two questions are on their way at once; the first is answered last, as of before the drain."""
+    rig.engine("e")
+    rig.engine("f")
+    answer, old = rig.directory, {}
+
+    def slow_first(packet, peer):
+        if "held" not in old:
+            old["held"] = (packet, peer, dict(rig.states), rig.serial)
+            return
+        if len(old) < 2 and rig.states["e"] == "draining":
+            answer(packet, peer)
+            old["sent"] = True
+            states, serial = rig.states, rig.serial
+            first, to, rig.states, rig.serial = old["held"]
+            answer(first, to)
+            rig.states, rig.serial = states, serial
+            return
+        answer(packet, peer)
+
+    monkeypatch.setattr(rig, "directory", slow_first)
+    rig.start()
+    until(lambda: "held" in old)
+    rig.change("e", "draining")
+    until(lambda: len(rig.gateway.facade.roster.ready) == 1, 2)
+    gevent.sleep(0.2)
+    assert len(rig.gateway.facade.roster.ready) == 1
