A cold engine counts from its last start, though the list tells an older one

Cause: `ColdGuard.left` drew its lots for an engine's warmth by `engine.started`. An engine that came back at its old address, of which refused dials tell and the list does not, kept the start of its life before: 100 s after that it counted as 5 times as able as a warm one (0.33 + 0.67 x 100 / 14), and the lots of 20 gateways and more let through what they liked.

Change: warmth counts from the last start that is known, told or not.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -150,7 +150,9 @@
             return inf
         mine, start = self.part * engine.cores, engine.started or engine.cold_until - self.cold_us
         if mine < self.least_work:
-            warm = self.least + (1 - self.least) * max(0, now - start) / self.cold_us
+            # From its last start, of which the list may not have told: by one before that it would bear all.
+            age = max(0, now - engine.cold_until + self.cold_us)
+            warm = self.least + (1 - self.least) * age / self.cold_us
             lot = crc32(f"{self.salt}:{engine.index}:{(now - start) // self.fall_us}".encode()) / 2**32
             mine = self.least_work if lot < self.lots * warm * engine.cores else 0.0
         engine.sent = engine.sent or Ring(self.fall_us, 10)
