--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,6 +26,7 @@
 from pathturn.standins.farm import Farm, spare_address
 from pathturn.wire.clients import ROW_US
 
+pytest_plugins = ["known_red"]
 # Generated cases are the same each time, so that a verdict is.
 hypothesis.settings.register_profile("same", derandomize=True, database=None, deadline=None)
 hypothesis.settings.load_profile("same")
