A second copy of an engine's answer is never taken for the answer to another call

Cause, by reading, forced on loopback sockets with the text as found. Ruled out: pages (their number is checked), what comes in the same read (`Answers.keeps`), half a line on an idle connection (found when it is borrowed).

Also: error answers held for a client are bounded by what one read can ask for, not by a line's length, which a reading client could pass in one go.

--- a/pathturn/wire/clients.py
+++ b/pathturn/wire/clients.py
@@ -36,6 +36,9 @@
 ABORT, LOOK_US = b'"abort"', 25_000
 # A reader takes a turn of the event loop to wake, one to read what is there, and one for what came meanwhile.
 TURNS = 3
+# What the shortest lines of one read are answered with; the writer has a turn before the next one, so that
+# more is there only where the client does not read.
+MOST_ASIDE = 10 * SIZE
 # Ten times as long as a batch may cross this side's end by the protocol; a client that has not closed by then
 # will not.
 LINGER_US = 500_000
@@ -190,7 +193,7 @@
         that client's end, and of its aborts, only seconds later."""
         self.asides.append(line)
         self.aside_bytes += len(line)
-        if self.aside_bytes > self.lines.longest:
+        if self.aside_bytes > MOST_ASIDE:
             self.end("unread")
         elif self.aside_bytes == len(line):
             self.answering.spawn(self._write_asides)
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -168,7 +168,7 @@
         try:
             with gevent.Timeout(self.pools.dial_s, TimeUp):
                 trip.line = self.pools.borrow(dispatch.place)
-                trip.line.call(request(trip.line.host, dispatch.batch.ticket), trip.patience_s)
+                trip.line.tell(request(trip.line.host, dispatch.batch.ticket), trip.patience_s)
             trip.end()
             return True
         except Unreachable as fault:
@@ -209,7 +209,7 @@
         """On the connection that brought its news, if that is free: an engine may take no new one."""
         if self.line is None or self.line.due:
             return False
-        if answered := self._aside(partial(self.line.call, warehouse.give_up(
+        if answered := self._aside(partial(self.line.tell, warehouse.give_up(
                 self.line.host, self.dispatch.batch.ticket), self.patience_s)):
             self.end()
         return answered
@@ -259,8 +259,8 @@
             found = check(*answer)
         except Unreadable as fault:
             raise Lost(f"spoilt_{fault}") from fault
-        if not self.line.answers.keeps:
-            self.drop("engine_closes")
+        if self.line.parts:
+            self.drop(self.line.parts)
         return found, answer
 
     def _lose(self, fault: Lost) -> None:
--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -3,6 +3,7 @@
 import select
 import struct
 from collections.abc import Callable
+from time import monotonic
 
 from gevent import socket
 
@@ -12,12 +13,12 @@
 
 # Closes at once, with nothing that still waits in the system sent on.
 TORN = struct.pack("ii", 1, 0)
-
 # An answer like the one before it, so soon after it was asked for, is taken for a second copy of that one:
 # news of a query that goes on is the same only after the protocol's 250 ms.
 TWICE_S = 0.025
 ENDED = select.POLLRDHUP | select.POLLERR | select.POLLHUP
 
+
 class Unreachable(Exception):
     """No connection came up, which proves that nothing ran; refused, that no process is there."""
 
@@ -49,7 +50,6 @@
     return False
 
 
-class Line:
 def hung_up(link: socket.socket) -> bool:
     """Whether the peer has ended it, also where bytes before that end lie unread."""
     if link.closed:
@@ -59,11 +59,12 @@
     return any(found & ENDED for _, found in poll.poll(0))
 
 
+class Line:
     def __init__(self, place: Place, dial_s: float, buffers: Buffers, log: Callable[[str], None]) -> None:
         _, address = self.place = place
         self.host = f"{address[0]}:{address[1]}"
         self.buffers, self.log, self.answers, self.calls = buffers, log, Answers(), 0
-        self.idle_us, self.due = 0, False
+        self.idle_us, self.due, self.before, self.doubled = 0, False, None, False
         self.socket = socket.socket()
         try:
             # By the address alone: create_connection would have a thread resolve it, at three times the cost.
@@ -81,11 +82,25 @@
         self.calls += 1
         self.due = True
         self.socket.settimeout(patience_s)
+        asked = monotonic()
         try:
             self.socket.sendall(request)
         except OSError as fault:
             raise Unsent(type(fault).__name__) from fault
-        return self.answer()
+        answer = self.answer()
+        # Whatever comes next here would be the answer to the call before it.
+        self.doubled |= answer == self.before and monotonic() - asked < TWICE_S
+        self.before = answer
+        return answer
+
+    def tell(self, request: bytes, patience_s: float) -> tuple[int, dict[str, str], bytes]:
+        """A call that asks for nothing: news and pages are no answer to it, but what came late to an earlier
+        call. A give-up that took them for its own would prove a query over that goes on."""
+        answer = self.call(request, patience_s)
+        while answer[0] in (200, 202):
+            self.due = self.doubled = True
+            answer = self.answer()
+        return answer
 
     def answer(self) -> tuple[int, dict[str, str], bytes]:
         """The answer that is due, or what is still missing of it."""
@@ -112,6 +127,11 @@
             raise Lost("closed")
         return buffer[:size]
 
+    @property
+    def parts(self) -> str | None:
+        """Why it is of no further use, if so."""
+        return "doubled" if self.doubled else None if self.answers.keeps else "engine_closes"
+
     def fresh(self) -> bool:
         """Idle, it is still usable."""
         return quiet(self.socket)
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -5,6 +5,8 @@
 import resource
 import socket as plain
 import subprocess
+import sys
+from base64 import b64decode
 from contextlib import suppress
 from time import monotonic
 
@@ -15,6 +17,10 @@
 from gevent.event import Event
 from test_stop import Site, line
 
+from pathturn.process.gateway import GatewayProcess
+from pathturn.process.settings import build
+from pathturn.standins import farm
+from pathturn.wire import jsonrpc
 from pathturn.wire.lookup import EVERY_S
 
 HEARD_S = 0.1  # by the protocol nothing begins later than that after its client left
@@ -168,6 +174,104 @@
     assert dialled == []
 
 
+# What comes late on a connection to an engine is no answer to the next call.
+
+class Copier:
+    """An engine that sends a second copy of its first answer on the same connection some milliseconds later,
+    and answers no other call there before; and each batch has rows of its own. `later`: the first answer is
+    `not yet`, and once the query is over it is slow to say so again."""
+
+    def __init__(self, engine, later: bool = False) -> None:
+        self.engine, self.later, self.copies = engine, later, {}
+        engine.news = self.news
+
+    def news(self, link, ticket):
+        if (copy := self.copies.pop(link, None)) is not None:
+            copy.wait()
+            gevent.sleep(0.01)
+        word, since = self.engine.queries[ticket]
+        if self.later and word == "rows:1":
+            self.engine.queries[ticket] = ("begun", since)
+            self.send(link, 202, [], b"", twice=True)
+            return
+        if word == "told":
+            gevent.sleep(0.2)
+        self.engine.queries[ticket] = ("told", since)
+        fields = [("X-Pages", 1), ("X-Cost-Ms", 5), ("X-Needed-Mb", 1)]
+        self.send(link, 200, fields, own_rows(int(ticket, 16)), twice=not self.later)
+
+    def send(self, link, status, fields, body, twice):
+        head = [f"HTTP/1.1 {status} said", *(f"{name}: {value}" for name, value in fields),
+                f"Content-Length: {len(body)}", "", ""]
+        whole = "\r\n".join(head).encode() + body
+        link.sendall(whole)
+        if twice:
+            self.copies[link] = sent = Event()
+            gevent.spawn_later(0.01, lambda: (link.sendall(whole), sent.set()))
+
+
+def own_rows(number: int) -> bytes:
+    return f"a\tb\t{number}\n".encode()
+
+
+def rows(rig, number: int) -> bytes:
+    return b64decode(rig.answered(number).get("result", {}).get("data", ""))
+
+
+def test_a_second_answer_that_comes_with_the_next_call_is_not_taken_for_its_own(rig) -> None:
+    rig.engine("e")
+    Copier(rig.engines["e"])
+    rig.start()
+    for number in (1, 2, 3):
+        rig.call(number, "look")
+        until(lambda number=number: number in rig.answers)
+    assert [rows(rig, number) for number in (1, 2, 3)] == [own_rows(number) for number in (1, 2, 3)]
+
+
+def test_a_second_piece_of_news_does_not_shift_the_answers_after_it(rig) -> None:
+    """The copy of `not yet` is taken for the next news, and all that follows is one call late: the connection
+    may rest for as long as it likes, what is on its way then is the answer before."""
+    rig.engine("e")
+    Copier(rig.engines["e"], later=True)
+    rig.start()
+    for number in range(1, 5):
+        rig.call(number, "look")
+        assert rows(rig, number) == own_rows(number)
+        gevent.sleep(0.08)
+
+
+def test_a_give_up_is_not_proven_by_news_that_came_late(rig) -> None:
+    """Order of a key rests on that proof: the next of it would run beside the query that goes on."""
+    rig.set("rules.keyQuietUs", "20000")
+    rig.engine("e")
+    engine, hold, given = rig.engines["e"], Event(), []
+    answer = engine.answer
+
+    def late(link, status, fields=(), body=b""):
+        if status == 204 and not given:
+            given.append(monotonic())
+            answer(link, 202)
+            gevent.spawn(lambda: hold.wait() and answer(link, 204))
+        else:
+            answer(link, status, fields, body)
+
+    def news(link, ticket):
+        gevent.sleep(0.05)
+        answer(link, 202)
+
+    engine.answer, engine.news = late, news
+    rig.start()
+    rig.call(1, "load", key="k", patience=3000)
+    until(lambda: engine.posted)
+    rig.abort(1)
+    rig.call(2, "load", key="k", patience=3000)
+    until(lambda: given)
+    gevent.sleep(0.25)
+    assert len(engine.posted) == 1
+    hold.set()
+    until(lambda: len(engine.posted) == 2)
+
+
 # A connection that gives way loses nothing that was written on it.
 
 def test_a_batch_that_crosses_giving_way_does_not_take_the_answer_before_it(rig, monkeypatch) -> None:
@@ -338,3 +442,85 @@
     until(lambda: len(rig.gateway.facade.roster.ready) == 1, 2)
     gevent.sleep(0.2)
     assert len(rig.gateway.facade.roster.ready) == 1
+
+
+# One customer's settings for another's.
+
+def test_two_gateways_with_different_settings_side_by_side_keep_to_their_own() -> None:
+    """In one process, one after the other and at the same time: the kind, limit, name and rest of a group."""
+    other = farm.settings()
+    other["classes"] = [{"name": "peek", "promiseUs": 300_000, "deadlineUs": 900_000, "effect": "fragile",
+                         "worth": 2.0, "lateValue": 0.5}]
+    other["limits"] |= {"maxAttempts": 2, "retryAfter": False, "secondCopies": False, "cancel": False}
+    other["rules"] = {"keyQuietUs": 90_000, "budgetSpanUs": 1_000_000, "freeResends": 1,
+                      "extraPerRequest": 0.1}
+    first, groups = build(1, farm.settings())
+    second, fewer = build(1, other)
+    third, again = build(1, farm.settings())
+    assert list(fewer) == ["peek"] and list(groups) == list(again) == list(farm.GROUPS)
+
+    def told(one) -> tuple:
+        return one.max_dispatches, one.may_cancel, one.retry_us, one.keys.rest_us
+
+    assert [told(one) for one in (first, third)] == [(4, True, 500_000, 300_000)] * 2
+    assert told(second) == (2, False, 0, 90_000)
+    shared = [name for name, value in vars(first).items() if isinstance(value, (dict, list, set))
+              and value is getattr(second, name)]
+    assert shared == []
+
+
+def test_gateways_of_two_customers_in_one_process_serve_each_by_its_own_settings(rig) -> None:
+    """After a reset, which may have run it, a batch goes out again where the settings call it repeatable."""
+    rig.engine("e", "reset", "rows:1", "reset", "rows:1")
+    rig.start()
+    other = farm.settings()
+    other["classes"] = [{**other["classes"][0], "effect": "fragile"}]
+    told = rig.configuration("{}:{}".format(*farm.spare_address()))
+    second = GatewayProcess({**told, "settings": other})
+    second.server.start()
+    running = gevent.spawn(second.run)
+    try:
+        with socket.create_connection(second.server.address) as link, gevent.Timeout(3):
+            link.sendall(line(1))
+            answers = link.makefile("rb")
+            assert orjson.loads(answers.readline())["error"]["code"] == jsonrpc.ERRORED
+            rig.asked("e", "POST", 1)
+            for number in (11, 12):
+                rig.call(number, "look")
+                rig.returned(number)
+            rig.asked("e", "POST", 4)
+            link.sendall(line(2).replace(b'"look"', b'"load"'))
+            assert orjson.loads(answers.readline())["error"]["code"] == jsonrpc.UNKNOWN
+    finally:
+        second.server.stop(0)
+        second.parts.kill()
+        second.lookup.stop()
+        running.kill()
+
+
+def test_a_gateway_is_ready_at_once_though_neither_directory_nor_engines_can_be_reached() -> None:
+    site_settings = farm.settings()
+    listen = farm.spare_address()
+    told = {"name": "n0", "listen": "{}:{}".format(*listen), "seed": "0f", "settings": site_settings,
+            "limits": {"sockets": 256, "memory_mb": 64, "cores": 0.25}, "names": "127.0.0.1:1",
+            "known": {"index": 0, "updates": []}}
+    running = subprocess.Popen([sys.executable, "-c", "import sys; from pathlib import Path; "
+                                "from pathturn.process.start import serve; serve(Path('/dev/stdin'), None)"],
+                               stdin=subprocess.PIPE, stderr=subprocess.DEVNULL)
+    try:
+        running.stdin.write(orjson.dumps(told))
+        running.stdin.close()
+        began = monotonic()
+        with gevent.Timeout(10):
+            while True:
+                try:
+                    with socket.create_connection(listen) as link:
+                        link.sendall(b'{"jsonrpc":"2.0","id":1,"method":"ping"}\n')
+                        assert b'"healthy":true' in link.recv(200)
+                    break
+                except ConnectionRefusedError:
+                    gevent.sleep(0.01)
+        assert monotonic() - began < 3
+    finally:
+        running.kill()
+        running.wait()
