Tests of a drain, a late dial, a moved engine and a stop that fall between two steps

Need: rows of the table of ends that had no test. Each is forced: a dial is held until the list has told of a drain; a dial ends after its time; an engine comes back under its id at another address; SIGTERM comes at eight phases of the start.

--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -3,6 +3,7 @@
 
 import os
 import resource
+import signal
 import socket as plain
 import subprocess
 import sys
@@ -47,6 +48,22 @@
     return monotonic()
 
 
+def held_dials(rig, monkeypatch, once: bool = False) -> dict[str, "Held"]:
+    """Dials to engines that wait for a signal, by the engine's name; with `once` only the first one."""
+    dials: dict[str, Held] = {}
+    names = {each.server.address: name for name, each in rig.engines.items()}
+
+    class Slow(socket.socket):
+        def connect(self, address):
+            if (name := names.get(address)) is None or (once and dials):
+                return super().connect(address)
+            dials[name] = Held(super().connect)
+            return dials[name](address)
+
+    monkeypatch.setattr("pathturn.wire.line.socket.socket", Slow)
+    return dials
+
+
 class Held:
     """Holds whoever calls it until `go`; `came` tells that somebody is there."""
 
@@ -136,19 +153,10 @@
     rig.engine("e")
     rig.start()
     client = socket.create_connection(rig.listen)
-    held = {}
-
-    class Slow(socket.socket):
-        def connect(self, address):
-            if address == rig.engines["e"].server.address:
-                held["dial"] = Held(super().connect)
-                return held["dial"](address)
-            return super().connect(address)
-
-    monkeypatch.setattr("pathturn.wire.line.socket.socket", Slow)
+    dials = held_dials(rig, monkeypatch)
     client.sendall(line(1))
-    until(lambda: "dial" in held and held["dial"].came.is_set())
-    held["dial"].go.set()
+    until(lambda: dials)
+    dials["e"].go.set()
     client.close()
     gevent.sleep(0.3)
     assert [each[0] for each in rig.engines["e"].asked] == []
@@ -381,7 +389,63 @@
         subprocess.Popen = popen
 
 
-# A list that goes quiet.
+# A list that goes quiet, or tells something while a dispatch waits.
+
+def test_a_drain_told_while_a_dispatch_waits_for_its_connection_is_kept(rig, monkeypatch) -> None:
+    """A once-only batch: what never began may go elsewhere."""
+    rig.engine("e")
+    rig.engine("f")
+    rig.start()
+    dials = held_dials(rig, monkeypatch, once=True)
+    rig.call(1, "pay", patience=1400)
+    until(lambda: dials)
+    (name, dial), = dials.items()
+    rig.change(name, "draining")
+    until(lambda: len(rig.gateway.facade.roster.ready) == 1)
+    dial.go.set()
+    rig.returned(1)
+    rig.asked(name, "POST", 0)
+    rig.asked("f" if name == "e" else "e", "POST", 1)
+
+
+def test_a_dial_that_comes_up_after_its_time_carries_nothing_and_the_batch_goes_elsewhere_once(
+        rig, monkeypatch) -> None:
+    rig.engine("e")
+    rig.engine("f")
+    rig.start()
+    late, connect = [], socket.socket.connect
+
+    class Late(socket.socket):
+        def connect(self, address):
+            if not late:
+                late.append(address)
+                gevent.sleep(0.15)
+                raise TimeoutError
+            connect(self, address)
+
+    monkeypatch.setattr("pathturn.wire.line.socket.socket", Late)
+    rig.call(1, "pay", patience=1400)
+    rig.returned(1)
+    posts = {each.server.address: len(each.posts()) for each in rig.engines.values()}
+    assert posts.pop(late[0]) == 0 and list(posts.values()) == [1]
+
+
+def test_an_engine_that_comes_back_under_its_id_at_another_address_is_asked_there(rig) -> None:
+    """And nothing goes out on what was left open to the old one."""
+    rig.engine("e")
+    rig.start()
+    rig.call(1, "pay")
+    rig.returned(1)
+    old = rig.engines["e"]
+    rig.engine("e", "rows:2")
+    rig.serial += 1
+    place = rig.engines["e"].server.address
+    until(lambda: {each[1] for each in rig.gateway.facade.roster.place.values()} == {place})
+    rig.call(2, "pay")
+    rig.returned(2, 2)
+    assert len(old.posts()) == 1
+    rig.idle()
+    old.server.stop(0)
 
 def test_a_directory_answer_that_is_lost_does_not_hold_up_the_next(rig, monkeypatch) -> None:
     rig.engine("e")
@@ -524,3 +588,25 @@
     finally:
         running.kill()
         running.wait()
+
+
+@pytest.mark.parametrize("step", range(8))
+def test_a_stop_during_the_start_ends_it_without_a_word_of_a_fault(tmp_path, step) -> None:
+    """Nothing was taken by then: by its own way once that is set up, by the signal before."""
+    site = Site(tmp_path)
+    site.engine("e")
+    site.config.write_bytes(orjson.dumps(site.configuration("{}:{}".format(*site.listen))))
+    with (tmp_path / "log").open("wb") as log:
+        running = subprocess.Popen([sys.executable, "-m", "pathturn", "serve", str(site.config)], stderr=log)
+        try:
+            gevent.sleep(0.05 * step)
+            running.terminate()
+            with gevent.Timeout(4):
+                while running.poll() is None:
+                    gevent.sleep(0.01)
+            assert running.returncode in (0, -signal.SIGTERM)
+            assert "Traceback" not in (tmp_path / "log").read_text()
+        finally:
+            running.kill()
+            running.wait()
+            site.stop()
