Only news and pages are looked at for second copies, as answers to give-ups are all alike

Found in the gateways' logs by the code.

Change: `Line.call` compares answers with the statuses of news and pages only.

--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -16,6 +16,7 @@
 # An answer like the one before it, so soon after it was asked for, is taken for a second copy of that one:
 # news of a query that goes on is the same only after the protocol's 250 ms.
 TWICE_S = 0.025
+NEWS = (200, 202)  # statuses that come with news or pages alone
 ENDED = select.POLLRDHUP | select.POLLERR | select.POLLHUP
 
 
@@ -88,8 +89,9 @@
         except OSError as fault:
             raise Unsent(type(fault).__name__) from fault
         answer = self.answer()
-        # Whatever comes next here would be the answer to the call before it.
-        self.doubled |= answer == self.before and monotonic() - asked < TWICE_S
+        # Whatever comes next here would be the answer to the call before it. Those to give-ups are all alike.
+        alike = answer == self.before and answer[0] in NEWS
+        self.doubled |= alike and monotonic() - asked < TWICE_S
         self.before = answer
         return answer
 
@@ -97,7 +99,7 @@
         """A call that asks for nothing: news and pages are no answer to it, but what came late to an earlier
         call. A give-up that took them for its own would prove a query over that goes on."""
         answer = self.call(request, patience_s)
-        while answer[0] in (200, 202):
+        while answer[0] in NEWS:
             self.due = self.doubled = True
             answer = self.answer()
         return answer
