A give-up proves nothing while the start it is to end may still be on its way

In n2's log: 10.823 `engine 127.11.0.10:8443 calls=1 code=lost_TimeoutError` (a first call, 0.5 s without an answer), 11.085 `undialled_TimeoutError` to the same engine (its news could not be asked for), and 11.085 + 300 ms of rest is 11.39, when the next of the key went out. Ruled out: the reset of 127.11.0.2 at 10.853, refused at 10.874 (its rest would have been over at 11.174); copies (no `lost_copy` in n2's log then).

At fault: `Engines._prove` took an answered give-up on another connection for a proof though the start had no answer. What is on the wire arrives also where its sender has torn the connection since; it began then, with nobody asking.

Change: until the start was answered, its connection was reset by the engine, or its news told of it, a give-up counts only from 2.25 s after the start on, when a query that nobody asks for has ended; it is repeated meanwhile.

--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -100,7 +100,9 @@
                 told()
                 return
         trip.drop(trip.code)
-        while not self._give_up(dispatch, trip.reset) and told is not None:
+        # A start that is still on its way, unanswered, comes after a give-up on another connection and begins
+        # then: what is answered before it would have ended unasked proves nothing, and it is given up again.
+        while not (self._give_up(dispatch, trip.reset) and trip.past_start()) and told is not None:
             if not self.facade.named(dispatch) and self.clock() >= trip.forgotten_us:
                 break
             gevent.sleep(ASK_AGAIN_S)
@@ -188,22 +190,31 @@
         self.line: Line | None = None
         self.code = "unanswered"  # why its connection is dropped in the end
         self.forgotten_us = 0  # when the engine has ended it by itself, if it hears of it no more
+        # Whether its start is no more on its way, and from when on it cannot be.
+        self.started, self.late_us = False, 0
         self.patience_s = pools.dial_s + warehouse.NEWS_US / 1e6
 
     def start(self, request: bytes) -> tuple[int, Answer]:
+        self.late_us = self.pools.clock() + warehouse.NEWS_US + warehouse.FORGOTTEN_US
         try:
-            return self._once(request, warehouse.news)
+            told = self._once(request, warehouse.news)
+            self.started = True
+            return told
         except Unsent:
             raise  # it never went out whole: there is no news to ask for
         except Lost as fault:
+            self.started = str(fault) in RESETS  # the engine's side of that connection takes nothing more
             self._lose(fault)
         return self.news()
 
+    def past_start(self) -> bool:
+        return self.started or self.pools.clock() >= self.late_us
+
     def settle(self) -> None:
         """Waits for the answer to a call that is out: a give-up on another connection could overtake the
         start it is to end. One that is torn brings nothing more; one that stays silent is torn by us."""
         if self.line is not None and self.line.due:
-            self._aside(self.line.answer)
+            self.started = self._aside(self.line.answer) or self.started
 
     def give_up(self) -> bool:
         """On the connection that brought its news, if that is free: an engine may take no new one."""
@@ -230,6 +241,7 @@
         pages, answer = self._ask(0, warehouse.news)
         if self.torn and answer[0] == 500:
             raise Lost("unknown")
+        self.started = True
         return pages, answer
 
     def page(self, number: int) -> bytes | None:
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -16,6 +16,7 @@
 import pytest
 from gevent import socket
 from gevent.event import Event
+from gevent.server import StreamServer
 from test_stop import Site, line
 
 from pathturn.process.gateway import GatewayProcess
@@ -281,6 +282,50 @@
     until(lambda: len(engine.posted) == 2)
 
 
+# A start that is late.
+
+class Late:
+    """The way to an engine on which what the first connection carries comes late, whatever becomes of it: it
+    is on the wire already. Other connections are as quick as ever."""
+
+    def __init__(self, behind, late_s: float) -> None:
+        self.behind, self.late_s, self.first = behind, late_s, True
+        self.server = StreamServer(("127.0.0.1", 0), self.carry)
+        self.server.start()
+
+    def carry(self, link, peer):
+        late, self.first = self.first, False
+        with socket.create_connection(self.behind) as beyond:
+            back = gevent.spawn(self.pump, beyond, link)
+            with suppress(OSError):
+                while piece := link.recv(65_536):
+                    if late:
+                        gevent.sleep(self.late_s)
+                    beyond.sendall(piece)
+            gevent.sleep(self.late_s if late else 0)
+            back.kill()
+
+    def pump(self, source, sink):
+        with suppress(OSError):
+            while piece := source.recv(65_536):
+                sink.sendall(piece)
+
+
+@pytest.mark.parametrize("group", ["load", "book"])
+def test_a_start_that_comes_after_its_give_up_does_not_run_beside_the_next_of_its_key(rig, group) -> None:
+    rig.engine("e", "runs:4000")
+    late = rig.straits["e"] = Late(rig.engines["e"].server.address, 1.0)
+    rig.start()
+    rig.call(1, group, key="k", patience=4000)
+    gevent.sleep(0.1)
+    rig.abort(1)
+    rig.call(2, group, key="k", patience=4900)
+    until(lambda: len(rig.engines["e"].posted) == 2, 5)
+    runs = sorted(run[1:] for run in rig.engines["e"].runs.values())
+    assert runs[0][1] <= runs[1][0], "both ran at once"
+    late.server.stop(0)
+
+
 # A connection that gives way loses nothing that was written on it.
 
 def test_a_batch_that_crosses_giving_way_does_not_take_the_answer_before_it(rig, monkeypatch) -> None:
