A connection that is late no longer marks its engine as warming up

A third of the connections comes up after the settings' 250 ms there, none of those engines had started anew, and nothing larger than 0.67 s of work fits into a sixth of what one that is warming up bears.

At fault: `Gateway._blame` in core/choice.py took every outcome `unreachable` for a process that has gone and come back. Only a refused connection says that. The network code knows which it was; it now reports `connect_refused` apart from `unreachable`, and the adapter tells the two by the settings' dial time-out, since the wire has one name for both. Both still eject for about a second.

--- a/pathturn/adapter/codec.py
+++ b/pathturn/adapter/codec.py
@@ -1,6 +1,7 @@
 """The wire codec: one line in, one line out, an instance of the decision module behind each gateway."""
 
 import sys
+from math import inf
 from typing import Any, BinaryIO
 
 import orjson
@@ -33,6 +34,7 @@
         self.decider, groups = build(seed, config)
         self.group_index = {name: index for index, name in enumerate(groups)}
         self.tells_cost = bool(config.get("domain", {}).get("costInAnswers"))
+        self.connect_timeout_us = config.get("limits", {}).get("dialTimeoutUs") or inf
         self.batch_of: dict[int, int] = {}
         self.rid: list[int] = []
         self.out: list[int] = []
@@ -120,6 +122,8 @@
         self.out[batch] -= 1
         told = (note or 0) if self.tells_cost and rc == "ok" else 0
         outcome = OUTCOMES.get(rc, names.ERRORED)
+        if rc == "connect_failed" and (latency or 0) < self.connect_timeout_us:
+            outcome = names.CONNECT_REFUSED  # one name for both here; a time-out is told by its length
         self.events.append(("answer", batch, trial, self.engine(node), outcome, latency or 0, bool(complete),
                             (told >> 12) * 1000, (told & 4095) * 4, load))
         self.over[batch] = self.over[batch] or bool(complete)
--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -430,10 +430,13 @@
             bad, heard = engine.answers.sums(self.now)
             if bad >= 2 and bad > 0.2 * heard:
                 self._shut(engine)
-        elif outcome == names.UNREACHABLE:
+        elif outcome == names.CONNECT_REFUSED:
             # Its process may have gone and come back before the list says so: take it for cold.
             engine.cold_until = self.now + self.cold.cold_us
             self._shut(engine)
+        elif outcome == names.UNREACHABLE:
+            # A slow way to it, or a cut: no sign of a new process. Taken for cold, nothing large would fit.
+            self._shut(engine)
 
     def _shut(self, engine: Engine) -> None:
         shut = [each.shut_until > self.now for each in self._live()]
--- a/pathturn/core/interface.py
+++ b/pathturn/core/interface.py
@@ -6,11 +6,12 @@
 ERRORED = "errored"
 FULL = "full"
 TIMED_OUT = "timed_out"
-UNREACHABLE = "unreachable"
+UNREACHABLE = "unreachable"  # no connection came up in time, which tells nothing of the process
+CONNECT_REFUSED = "connect_refused"  # nobody listens: the process has gone, and a new one starts cold
 RESET = "reset"
 CANCELLED = "cancelled"
 UNSENT = "unsent"
-NEVER_RAN = frozenset({FULL, UNREACHABLE, UNSENT})
+NEVER_RAN = frozenset({FULL, UNREACHABLE, CONNECT_REFUSED, UNSENT})
 
 REPEATABLE = "repeatable"
 REFERENCED = "referenced"
--- a/pathturn/wire/engines.py
+++ b/pathturn/wire/engines.py
@@ -48,8 +48,8 @@
         try:
             with gevent.Timeout(self._left_s(dispatch), TimeUp):
                 self._run(trip)
-        except Unreachable:
-            self._done(trip, names.UNREACHABLE)
+        except Unreachable as fault:
+            self._done(trip, names.CONNECT_REFUSED if fault.refused else names.UNREACHABLE)
         except Unsent:
             trip.drop("unsent")
             self._done(trip, names.UNSENT)
