A repeat that waited until its window was over is not sent

Seen by reading, and forced on loopback: whether a keyed request may go out again is looked at as the attempt is decided, at 0.95 of the settings' window. After that it waits for its turn, for room in the pool, and for a connection (250 ms by the settings), and `Facade.stands`, asked last before the first byte, looked at drains and at the client only. With a window of 0.4 s and a wait that outlasts it a second POST went out.

Change: the decisions are asked once more before the first byte (`may_begin`); what may not begin any more is reported as never sent, and the request is rejected or failed as the settings allow. The window counts from the decision of the first attempt, which lies before its first byte.

Ruled out: that the window counts from too late (`dispatch.sent` is the decision's time); non-idempotent requests, which never go out again after an attempt that may have run, whatever the time.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -245,6 +245,11 @@
     def chance(self, identity: int) -> float:
         return crc32(f"{self.seed}:{self.instance}:{identity}:{next(self.counter)}".encode()) / 2**32
 
+    def may_begin(self, index: int, now_us: int) -> bool:
+        """Asked before an attempt's first byte: a repeat's window may have ended while it waited."""
+        batch = self.batches.get(index)
+        return batch is not None and batch.may_resend(now_us)
+
     def row_us(self, group: names.ServiceGroup) -> int:
         """How long the last of a key's batches that were held together waits to be written again."""
         return APART_US * row(group)
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -135,7 +135,9 @@
         last before its first byte, so what the client has said by then is heard first."""
         if (source := dispatch.batch.source) is not None and not dispatch.batch.over:
             source.catch_up()
-        return not dispatch.batch.over and dispatch.engine in self.roster.ready
+        if dispatch.batch.over or dispatch.engine not in self.roster.ready:
+            return False
+        return self.decider.may_begin(dispatch.batch.index, self.clock())
 
     def note(self, dispatch: Dispatch, sort: int, level: float) -> None:
         self._tell("note", dispatch.batch.index, dispatch.engine, sort, level, dispatch.number)
--- a/tests/test_slow_connections.py
+++ b/tests/test_slow_connections.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 from test_close_range import until
 
 WARMING_UP = {"coldFrom": "0.33", "coldUs": "14000000", "fallMultiple": "3.0", "fallUs": "1000000"}
@@ -66,3 +67,32 @@
     gevent.sleep(EJECTED_S)
     rig.asked("e", "POST", 0)
     rig.unanswered(1)
+
+
+REPEAT_WINDOW_S = 0.4
+
+
+def test_a_repeat_is_not_sent_once_its_window_has_ended_while_it_waited(rig, monkeypatch) -> None:
+    """The decision falls within the window; the connection for it comes only after."""
+    for service_class in rig.settings["classes"]:
+        if service_class["name"] == "load":
+            service_class["memorySpanUs"] = int(REPEAT_WINDOW_S * 1e6)
+    rig.engine("e", "reset")
+    rig.engine("f", "reset")
+    rig.start()
+    facade, window_ended, retries = rig.gateway.facade, Event(), []
+    follows = facade.follows
+
+    def waits_for_its_turn(attempt) -> bool:
+        if attempt.number == 0:
+            return follows(attempt)
+        retries.append(attempt.number)
+        return window_ended.is_set() and follows(attempt)
+
+    monkeypatch.setattr(facade, "follows", waits_for_its_turn)
+    rig.call(1, "load", patience=3000)
+    until(lambda: retries)
+    gevent.sleep(REPEAT_WINDOW_S)
+    window_ended.set()
+    rig.pushed_back(1)
+    assert sum(len(engine.posts()) for engine in rig.engines.values()) == 1
