A connection that comes up late is kept for the next attempt

A third of the connections to engines come up 0.25 to 1.5 s late on zone+brink, some on join+mass. The attempt that asked for one was told after the settings' 250 ms that there is none, and the socket, still being established, was closed: the next attempt began anew.

Change: what is not up in time stays with the pool, one an endpoint at most, for as long as an idle connection is kept. It comes up for whoever asks next; it is closed at once where its engine has left the list, and gives way where descriptors are short. The attempt itself ends as before (never sent), and the settings' limit on connecting stands for each.

--- a/pathturn/memory/pools.py
+++ b/pathturn/memory/pools.py
@@ -2,11 +2,13 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from functools import partial
 
+import gevent
 from gevent.lock import BoundedSemaphore
 
 from pathturn.memory.roster import Place
-from pathturn.wire.line import Line
+from pathturn.wire.line import ConnectTimeoutError, Line
 
 # Idle connections are closed in half the time after which the engines do: a call must not cross such a close.
 EARLIER = 2
@@ -19,6 +21,9 @@
         self.idle_us, self.dial_s = idle_us // EARLIER, dial_us / 1e6
         self.idle: dict[Place, list[Line]] = defaultdict(list)
         self.waiting = 0
+        # Connections that were not up in time for their attempt, one an endpoint at most, each with the
+        # greenlet that waits for it: one that comes up after all is the next attempt's.
+        self.late: dict[Place, gevent.Greenlet] = {}
 
     def borrow(self, place: Place, new: bool = False) -> Line:
         waiting = self.idle[place]
@@ -30,10 +35,30 @@
         self._take_room()
         try:
             return self.dial(place, self.dial_s)
+        except ConnectTimeoutError as timeout:
+            self._keep_late(timeout.connection)
+            raise
         except BaseException:
             self.room.release()
             raise
 
+    def _keep_late(self, line: Line) -> None:
+        """Wait for it as long as an idle connection is kept, unless its descriptor is needed or its engine
+        has gone before."""
+        if line.place in self.late:
+            self.drop(line, "connect_timeout")
+            return
+        self.log(f"engine {line.host} code=connect_late")
+        waiter = self.late[line.place] = gevent.spawn(line.came_up, self.idle_us / 1e6)
+        waiter.link(partial(self._settle_late, line))  # also runs where the waiter is killed before its start
+
+    def _settle_late(self, line: Line, waiter: gevent.Greenlet) -> None:
+        del self.late[line.place]
+        if waiter.value is True:
+            self.give_back(line)
+        else:
+            self.drop(line, "connect_timeout")
+
     def give_back(self, line: Line) -> None:
         if code := line.parts or ("room" if self.waiting else None):
             self.drop(line, code)
@@ -54,6 +79,8 @@
         for place in self.idle.keys() - places:
             for line in self.idle.pop(place):
                 self.drop(line, "engine_gone")
+        for place in self.late.keys() - places:
+            self.late[place].kill(block=False)
 
     def _take_room(self) -> None:
         """Waits in turn when all are in use: an engine is not to blame for this gateway's limit."""
@@ -62,6 +89,8 @@
         fullest = max(self.idle.values(), key=len, default=None)
         if fullest:
             self.drop(fullest.pop(0), "room")
+        elif self.late:
+            next(iter(self.late.values())).kill(block=False)
         self.log("no connection to engines is free")
         self.waiting += 1
         try:
--- a/pathturn/wire/line.py
+++ b/pathturn/wire/line.py
@@ -8,6 +8,7 @@
 from time import monotonic
 
 from gevent import socket
+from gevent.socket import wait_write
 
 from pathturn.memory.buffers import Buffers
 from pathturn.memory.roster import Place
@@ -33,6 +34,14 @@
         self.refused = isinstance(fault, ConnectionRefusedError)
 
 
+class ConnectTimeoutError(Unreachable):
+    """The connection is not up in time, and still being established; whoever catches this owns it."""
+
+    def __init__(self, fault: OSError, connection: "Line") -> None:
+        super().__init__(fault)
+        self.connection = connection
+
+
 class Lost(Exception):
     """The connection ended, or became unreadable, before the answer was whole."""
 
@@ -77,14 +86,29 @@
             # By the address alone: create_connection would have a thread resolve it, at three times the cost.
             self.socket.settimeout(dial_s)
             self.socket.connect(address)
+        except TimeoutError as fault:
+            raise ConnectTimeoutError(fault, self) from fault
         except OSError as fault:
             self.close(f"undialled_{type(fault).__name__}")
             # Whoever resets a dial is there: taken for one that is down, it would count as started anew.
             if isinstance(fault, ConnectionResetError):
                 raise Unsent("ConnectionResetError") from fault
             raise Unreachable(fault) from fault
+        self._established()
+
+    def _established(self) -> None:
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def came_up(self, timeout_s: float) -> bool:
+        """Wait for a connection that was not up in time; return whether it can be used now."""
+        try:
+            wait_write(self.socket.fileno(), timeout=timeout_s, timeout_exc=TimeoutError())
+            self.socket.getpeername()  # fails where it was refused, reset, or never begun
+            self._established()
+        except OSError:
+            return False
+        return True
+
     def call(self, request: bytes, patience_s: float) -> tuple[int, dict[str, str], bytes]:
         self.calls += 1
         self.due = True
