A late connection ejects no engine that was heard since its attempt began

Change: `Gateway._blame` ejects for an attempt that found no connection in time only where nothing was heard of the engine since that attempt began; a refused connection, errors, resets and silence eject as before.

--- a/pathturn/core/choice.py
+++ b/pathturn/core/choice.py
@@ -366,7 +366,7 @@
         if outcome == names.RETURNED:
             self._returned(engine, dispatch, latency, work_us)
         else:
-            self._blame(engine, batch, outcome)
+            self._blame(engine, dispatch, outcome)
         if outcome not in names.NEVER_RAN and batch.ran_since is None:
             batch.ran_since, batch.ran_at = dispatch.sent, engine
         if outcome in (names.TIMED_OUT, names.RESET, names.CANCELLED) and batch.key is not None:
@@ -425,11 +425,11 @@
         for window in (engine.window, *self.fleet[:1 + batch.small]):
             window.learn(self.now, stretch)
 
-    def _blame(self, engine: Engine, batch: Batch, outcome: str) -> None:
+    def _blame(self, engine: Engine, dispatch: Dispatch, outcome: str) -> None:
         """By symptom: quick errors, lost connections. None is a latency sample, so none looks cheap."""
         if outcome in (names.FULL, names.TIMED_OUT):
             engine.window.cut(self.now)
-            self.fleet[batch.small].cut(self.now)
+            self.fleet[dispatch.batch.small].cut(self.now)
         if outcome in (names.ERRORED, names.RESET, names.FULL):
             engine.answers.add(self.now, 1, 1)
             bad, heard = engine.answers.sums(self.now)
@@ -439,8 +439,9 @@
             # Its process may have gone and come back before the list says so: take it for cold.
             engine.cold_until = self.now + self.cold.cold_us
             self._shut(engine)
-        elif outcome == names.UNREACHABLE:
+        elif outcome == names.UNREACHABLE and engine.heard <= dispatch.sent:
             # A slow way to it, or a cut: no sign of a new process. Taken for cold, nothing large would fit.
+            # One that was heard meanwhile can be reached: only that connection was late.
             self._shut(engine)
 
     def _shut(self, engine: Engine) -> None:
