The rest of a head into which another one runs is refused

Seen on loopback (tests/test_engine_edges.py, 5 of its cases): an engine sends half a head behind a whole answer, and it arrives between the pool's look at the connection and the next call. Half of `X-Cost-Ms: ` ran into the next `HTTP/1.1 202`, and the client got an empty result as served while the query was running; half of a 503 was taken for "never ran", and a non-idempotent request was POSTed twice (3 posts in place of 2); half of a 500 was taken for a failure.

Ruled out, each with a test: half a head in the segment of a whole answer, and on an idle connection (found at the pool's look); `HTTP/1.1 2` alone (unreadable, asked for again); half a body (rows with a CR are refused).

At fault: `Answers.on_header` in wire/http.py took any value, and the reason phrase was not looked at. Both are refused now where another answer's version stands in them; the answer is asked for again on a new connection, as any that can't be read.

--- a/pathturn/wire/http.py
+++ b/pathturn/wire/http.py
@@ -6,12 +6,20 @@
 
 # The protocol's figure for a page. A head takes a few hundred bytes; whatever passes this is not one of ours.
 LARGEST_BODY, LARGEST_HEAD = 6000, 8192
+VERSION = b"HTTP/1."  # how each answer begins
 
 
 class Unreadable(Exception):
     """What came is no answer, or not the one that is due; its text is the reason's code."""
 
 
+def check_one_head(text: bytes) -> None:
+    """Refuse the rest of a head into which another one runs: a copy of an earlier answer broke off there, and
+    its status would be taken for that of the answer behind it."""
+    if VERSION in text:
+        raise Unreadable("two_heads")
+
+
 class Answers:
     """Reads one answer after another from a connection's bytes. Holds no more than one answer can have: one
     said to be larger is refused before its bytes, one without an end as soon as it is too long."""
@@ -23,6 +31,7 @@
 
     def _begin(self) -> None:
         self.fields: dict[str, str] = {}
+        self.reason = b""
         self.pieces: list[bytes] = []
         self.whole, self.size = False, 0
 
@@ -49,9 +58,16 @@
         if self.whole:
             self.keeps = False  # a second copy: the next call would be answered with it
 
+    def on_status(self, reason: bytes) -> None:
+        if self.whole:
+            return
+        self.reason += reason
+        check_one_head(self.reason)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.whole:
             return
+        check_one_head(value)
         key = name.decode("latin-1").lower()
         self.fields[key] = value.decode("latin-1")
         if key == "content-length" and int(value) > LARGEST_BODY:
