A string that never closes no longer holds the event loop for seconds

Seen by a probe: a statement of one quote, n escaped quotes and a backslash takes 93 ms of CPU at 2 KB, 2.5 s at 14 KB and 28 s at 48 KB, in the turn that reads its line; nothing else runs meanwhile. One client with one line does it.

At fault: TOKEN in wire/statement.py. A string that ends in a backslash matches neither the end of a string nor the end of the text, so each of its quotes was tried as a beginning that runs to the end. It may end in one now.

--- a/pathturn/wire/statement.py
+++ b/pathturn/wire/statement.py
@@ -4,10 +4,10 @@
 
 TOKEN = re.compile(
     r"""(?P<skip>\s+|--[^\n]*|/\*(?:[^*]|\*(?!/))*(?:\*/|\Z)|\#[^\n]*)
-      | (?P<text>'(?:[^'\\]|''|\\.)*(?:'|\Z)|\$(?P<tag>[A-Za-z_]*)\$.*?(?:\$(?P=tag)\$|\Z))
+      | (?P<text>'(?:[^'\\]|''|\\.)*(?:'|\\?\Z)|\$(?P<tag>[A-Za-z_]*)\$.*?(?:\$(?P=tag)\$|\Z))
       | (?P<quoted>"(?:[^"]|"")*(?:"|\Z)|`[^`]*(?:`|\Z)|\[[A-Za-z_]\w*\])
       | (?P<word>[^\W\d]\w*)
-      | (?P<other>\d[\w.]*|.)""",
+      | (?P<other>\d[\w.]*|(?:[^\w\s'"`\[$/\#.-]|/(?!\*)|-(?!-))+|.)""",
     re.VERBOSE | re.DOTALL)
 NUMBERED = re.compile(r"_(\d+)\Z")
 OPENERS = frozenset({"from", "join", "into", "update", "table", "using", "copy", "truncate"})
@@ -32,8 +32,10 @@
     """The number in the schema's name; a name behind FROM and the like goes before an alias; 0 if none."""
     names, spare = _names(statement), 0
     for at in range(len(names) - 1):
-        number, before = NUMBERED.search(names[at]), names[at - 1].lower() if at else ""
-        if names[at + 1] != "." or not number or names[at].lower() in SEPARATE or before == ".":
+        if names[at + 1] != "." or not (number := NUMBERED.search(names[at])):
+            continue
+        before = names[at - 1].lower() if at else ""
+        if names[at].lower() in SEPARATE or before == ".":
             continue
         if before in OPENERS:
             return int(number[1])
