--- a/pathturn/memory/sessions.py
+++ b/pathturn/memory/sessions.py
@@ -16,14 +16,12 @@
 
 class Sessions:
     """`held` are served; `parting` have been ended from this side and are read on to their clients' end, so
-    many at most, out of the descriptors that are lent to nobody. `closing` are closed, but where a reader
-    waits gevent gives a descriptor back only in a later turn of the event loop."""
+    many at most, out of the descriptors that are lent to nobody."""
 
     def __init__(self, cap: int, parting: int, clock: Callable[[], int]) -> None:
         self.cap, self.most_parting, self.clock = cap, parting, clock
         self.held: set[Held] = set()
         self.parting: dict[Held, None] = {}
-        self.closing: set[Held] = set()
 
     def enter(self, session: Held) -> bool:
         """Accepting never stops: at the cap whoever has been idle longest gives way, else the newcomer."""
@@ -38,11 +36,6 @@
     def leave(self, session: Held) -> None:
         self.held.discard(session)
         self.parting.pop(session, None)
-        self.closing.discard(session)
-
-    def out_of_descriptors(self) -> bool:
-        """Whether closed connections must give theirs back before another one is accepted."""
-        return len(self) + len(self.closing) > self.cap + self.most_parting
 
     def __len__(self) -> int:
         return len(self.held) + len(self.parting)
@@ -64,16 +57,13 @@
     def _part(self, session: Held, code: str) -> None:
         """From this side first; for good where that was done long ago, or too many are under way."""
         if session.parted_us:
-            self._close(session, code)
+            self.leave(session)
+            session.end(code)
             return
         self.held.discard(session)
         self.parting[session] = None
         session.part(code)
         if len(self.parting) > self.most_parting:
             oldest = next(iter(self.parting))
-            self._close(oldest, code)
-
-    def _close(self, session: Held, code: str) -> None:
-        self.leave(session)
-        self.closing.add(session)
-        session.end(code)
+            self.leave(oldest)
+            oldest.end(code)
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -69,8 +69,7 @@
 
             self.operator = operator.Operator(installation, self.facade, settings, clients, self.clock,
                                               self.log)
-        self.server = Door(directory.address(told["listen"]), self._admit, self._client,
-                           self.sessions.out_of_descriptors)
+        self.server = Door(directory.address(told["listen"]), self._admit, self._client)
 
     def run(self) -> None:
         """Serves, once its server has been started, until a stop is asked for and nothing taken is open."""
