A result with rows behind the end of its Content-Length is requested again

Cause: a response is complete where its length ends. ResponseParser kept bytes behind it only as a reason not to use the connection again, and check_rows accepts every body that ends behind a row. A length too small by whole rows passed both.

Second copies and late reads are ruled out: the engine sends none, and head and body came in one segment.

Change: the parser keeps the bytes behind a response. A page ends behind a row, so if such bytes belong to it they begin with a whole row; then the page is incomplete, and is requested again on a new connection like any response that cannot be read. Where the bytes do not tell, the same rows a second time confirm the page: two calls a page at most. The engine gives a good end's answer again, so the query is never run twice. All pages go through Exchange._call_once, so none passes the check by.

--- a/pathturn/wire/engine_connection.py
+++ b/pathturn/wire/engine_connection.py
@@ -13,14 +13,15 @@
 from pathturn.memory.engine_registry import Endpoint
 from pathturn.wire import engine_protocol
 from pathturn.wire.engine_protocol import ResultFingerprint
-from pathturn.wire.http import MalformedResponseError, ResponseParser
+from pathturn.wire.http import MAX_BODY_BYTES, MalformedResponseError, ResponseParser
 
 # SO_LINGER with a timeout of zero: closing resets the connection and discards unsent data.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Results remembered for each connection, which bounds its memory; a connection that has received more within
 # the duplicate window is not reused.
 MAX_RECENT_RESULTS = 1024
-POLL_STATUSES = (200, 202)  # sent only in response to polls and page requests
+OK = 200
+POLL_STATUSES = (OK, 202)  # sent only in response to polls and page requests
 # A response that equals one received so recently on the same connection may be a duplicate of it: duplicates
 # have been seen up to 0.7 s late. Responses to control requests are all equal.
 DUPLICATE_WINDOW_S = 1.0
@@ -213,6 +214,8 @@
             with self.buffers.borrowed() as buffer:
                 while not self.parser.feed(self._receive(buffer)):
                     pass
+                if self.parser.status == OK:
+                    self._receive_surplus(buffer)
             self.response_pending = False
             self.expired = None
             return self.parser.take()
@@ -221,6 +224,14 @@
         except MalformedResponseError as error:
             raise ConnectionLostError(str(error)) from error
 
+    def _receive_surplus(self, buffer: memoryview) -> None:
+        """Parse what has arrived behind a result: it may belong to that, if its length is too small."""
+        received_bytes = 0
+        while received_bytes < MAX_BODY_BYTES and has_unread_data(self.socket):
+            size = self.socket.recv_into(buffer)
+            self.parser.feed(buffer[:size])
+            received_bytes += size
+
     def _receive(self, buffer: memoryview) -> memoryview:
         """Return what is received next.
 
@@ -262,6 +273,11 @@
         """Return whether the idle connection is still usable."""
         return nothing_to_read(self.socket)
 
+    @property
+    def surplus(self) -> bytes | None:
+        """What the engine has sent behind the last response, None if it has sent nothing."""
+        return self.parser.surplus if self.parser.received_surplus else None
+
     def has_surplus_data(self) -> bool:
         """Return whether the engine has sent more than one response to each request."""
         if self.response_pending:
--- a/pathturn/wire/exchange.py
+++ b/pathturn/wire/exchange.py
@@ -19,6 +19,7 @@
 )
 from pathturn.wire.engine_protocol import ResultFingerprint
 from pathturn.wire.http import MalformedResponseError
+from pathturn.wire.result_completeness import ResultCompleteness
 from pathturn.wire.result_verification import ResultVerification, StatementKey
 
 Response = tuple[int, dict[str, str], bytes]
@@ -48,6 +49,7 @@
         self.connection: EngineConnection | None = None
         # A connection that received a result which may be a duplicate; kept until the engine's next response.
         self.suspected: tuple[EngineConnection, ResultFingerprint] | None = None
+        self.completeness = ResultCompleteness()
         self.close_code = "no_response"  # logged when the connection is closed
         self.query_expiry_us = 0  # by then the engine has ended the query, unless it is polled again
         # Whether the engine has answered the start or a request about it.
@@ -175,6 +177,8 @@
             result = check(*response)
         except MalformedResponseError as error:
             raise ConnectionLostError(f"malformed_{error}") from error
+        if not self.completeness.is_confirmed(response, self.connection.surplus):
+            raise ConnectionLostError("result_unconfirmed")
         if self.connection.retire_reason:
             self.close_connection(self.connection.retire_reason)
         return result, response
--- a/pathturn/wire/http.py
+++ b/pathturn/wire/http.py
@@ -8,6 +8,7 @@
 MAX_BODY_BYTES = 6000
 MAX_HEAD_BYTES = 8192
 STATUS_LINE_PREFIX = b"HTTP/1."
+HEAD_END = b"\r\n\r\n"
 
 
 class MalformedResponseError(Exception):
@@ -32,6 +33,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.keep_alive = True
         self.received_surplus = False  # bytes behind a complete response
+        self.surplus = b""  # these bytes; empty if they cannot be told from the response
         self._reset()
 
     def _reset(self) -> None:
@@ -40,10 +42,13 @@
         self.body_chunks: list[bytes] = []
         self.complete = False
         self.received_bytes = 0
+        self.heads = 0  # of informational responses and of the final one
+        self.segments: list[bytes] = []  # received since the start of the response
 
     def feed(self, data: memoryview) -> bool:
         """Parse received bytes; return whether the response is complete."""
         self.received_bytes += len(data)
+        self.segments.append(bytes(data))
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserCallbackError) as error:
@@ -51,6 +56,8 @@
                 raise MalformedResponseError("parse_error") from error
             # Garbage after a complete response does not invalidate it, but the connection is not reusable.
             self._note_surplus()
+        if self.complete and self.received_surplus:
+            self.surplus = self._find_surplus()
         if not self.complete and self.received_bytes > MAX_HEAD_BYTES + MAX_BODY_BYTES:
             raise MalformedResponseError("too_large")
         return self.complete
@@ -65,6 +72,13 @@
         self.received_surplus = True
         self.keep_alive = False
 
+    def _find_surplus(self) -> bytes:
+        """Return the bytes behind the response, empty if it does not tell its own length."""
+        parts = b"".join(self.segments).lstrip(b"\r\n").split(HEAD_END, self.heads)
+        if "content-length" not in self.fields or len(parts) <= self.heads:
+            return b""
+        return parts[-1][sum(map(len, self.body_chunks)) :]
+
     # Callbacks of httptools.
     def on_message_begin(self) -> None:
         if self.complete:
@@ -85,6 +99,10 @@
         if key == "content-length" and int(value) > MAX_BODY_BYTES:
             raise MalformedResponseError("too_large")
 
+    def on_headers_complete(self) -> None:
+        if not self.complete:
+            self.heads += 1
+
     def on_body(self, body: bytes) -> None:
         if not self.complete:
             self.body_chunks.append(body)
--- /dev/null
+++ b/pathturn/wire/result_completeness.py
@@ -0,0 +1,62 @@
+"""Decides whether a page of a result is complete if the engine sent bytes behind it. Does no I/O.
+
+A `Content-Length` that is too small by whole rows leaves a valid response, and the other rows arrive as
+bytes behind it. Such bytes may as well be a second copy of the response, or noise; then it is complete.
+"""
+
+import re
+from enum import Enum
+
+Response = tuple[int, dict[str, str], bytes]
+OK = 200
+COLUMNS = 3
+CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0b-\x1f]")
+
+
+class Surplus(Enum):
+    """What the bytes behind a page can be."""
+
+    ROWS = "rows"  # at least one whole row
+    UNKNOWN = "unknown"  # possibly the beginning of a row
+    FOREIGN = "foreign"  # certainly no rows
+
+
+def classify_surplus(surplus: bytes) -> Surplus:
+    """Return what the bytes behind a page can be. The page ends behind a row, so if they are rows, they begin
+    with one."""
+    line, line_end, _ = surplus.partition(b"\n")
+    if CONTROL_CHARACTER.search(line) or line.count(b"\t") >= COLUMNS:
+        return Surplus.FOREIGN
+    if not line_end:
+        return Surplus.UNKNOWN
+    try:
+        line.decode()
+    except UnicodeDecodeError:
+        return Surplus.FOREIGN
+    return Surplus.ROWS if line.count(b"\t") == COLUMNS - 1 else Surplus.FOREIGN
+
+
+class ResultCompleteness:
+    """Judges the pages that one query's engine sends.
+
+    A page with rows behind it is incomplete. One with bytes behind it that may be the beginning of rows is
+    confirmed once it was received a second time with the same rows, or without such bytes.
+    """
+
+    def __init__(self) -> None:
+        self.unconfirmed_pages: set[tuple[str | None, bytes]] = set()
+
+    def is_confirmed(self, response: Response, surplus: bytes | None) -> bool:
+        """Return whether a response with these bytes behind it is complete; `surplus` is None if nothing came
+        behind it. A response without rows always is."""
+        status, fields, body = response
+        if status != OK or surplus is None:
+            return True
+        kind = classify_surplus(surplus)
+        if kind is Surplus.FOREIGN:
+            return True
+        page = (fields.get("x-page"), body)
+        was_received_before = page in self.unconfirmed_pages
+        if kind is Surplus.UNKNOWN:
+            self.unconfirmed_pages.add(page)
+        return kind is Surplus.UNKNOWN and was_received_before
