Responses of a slow directory are used however late they come

Cause: each query had a socket of its own, closed after 0.5 s. A response that took longer met a closed socket, and the next query began anew, so a directory slower than that was never heard, without a line in the log.

The serial and the grace are ruled out: no response was parsed, and with a directory that answers at once nothing goes to the engine after the event.

Change: one socket for each directory. On demand, queries go on while the directory is slow, and it counts as unavailable after 7 s, by when the protocol counts a change as told, instead of 0.5 s. The comment that each query needs a socket of its own, so that errors and late responses do not affect another, no longer holds: ids tell the responses apart.

--- a/pathturn/wire/discovery_client.py
+++ b/pathturn/wire/discovery_client.py
@@ -1,27 +1,25 @@
-"""Discovery client: queries the directory of engines by DNS over UDP."""
+"""Discovery client: keeps the list of engines up to date from a directory that is queried by DNS over UDP."""
 
 from collections.abc import Callable
+from time import monotonic
 
 import gevent
-from gevent import socket
-from gevent.pool import Group
 
 from pathturn.core import interface as names
 from pathturn.memory.facade import Facade
 from pathturn.wire import discovery_protocol
+from pathturn.wire.directory_session import DirectorySession
 
-# The largest datagram. An engine takes about 90 to 110 bytes, so the protocol's 8,000 would hold about 80
-# engines; a truncated list is discarded, and the drains in it would be missed.
-MAX_DATAGRAM_BYTES = 65_535
 # Well under the time after which the directory regards a change as delivered; responses are small in
 # comparison. Queries overlap: the directory regards a change as delivered once it has sent the response, so
 # neither a lost response nor a slow directory may delay the next query.
 QUERY_INTERVAL_S = 0.25
-RESPONSE_TIMEOUT_S = 0.5
+# By the protocol each change counts as delivered by then.
+UNAVAILABLE_AFTER_S = 7.0
 
 
 class DiscoveryClient:
-    """Keeps the facade's list of engines up to date from the directory."""
+    """Queries the directory and passes newer lists on to the facade."""
 
     def __init__(
         self,
@@ -37,11 +35,10 @@
         self.changed = changed
         self.log = log
         self.last_serial = last_serial
-        self.query_id = 0
         self.last_response = b""  # without its query id
+        self.session: DirectorySession | None = None
         self.poller: gevent.Greenlet | None = None
-        self.queries = Group()
-        self.last_error = ""
+        self.subscribed_at_s = 0.0
 
     def use_directory(self, address: tuple[str, int]) -> None:
         """Query the directory at this address from now on, without waiting for responses of the previous one.
@@ -51,51 +48,37 @@
         """
         self.stop()
         self.last_response = b""
-        self.poller = gevent.spawn(self._poll, address)
+        self.session = DirectorySession(address, self._handle_response, self.log)
+        self.poller = gevent.spawn(self._poll, self.session)
 
     def stop(self) -> None:
         """Stop querying and abandon pending queries."""
         if self.poller is not None:
             self.poller.kill(block=False)
-        self.queries.kill(block=False)
+        if self.session is not None:
+            self.session.close()
+            self.session = None
 
-    def _poll(self, address: tuple[str, int]) -> None:
-        while True:
+    def _poll(self, session: DirectorySession) -> None:
+        while not session.closed:
             if self.on_demand:
-                self.facade.list_subscribed.wait()
-            query = self.queries.spawn(self._query, address)
-            if self.on_demand and not query.get():
-                self.facade.list_subscribed.clear()
-                self.facade.update_engines(names.LIST_UNAVAILABLE, [])
+                self._await_subscription(session)
+            session.send_query()
             gevent.sleep(QUERY_INTERVAL_S)
 
-    def _query(self, address: tuple[str, int]) -> bool:
-        """Send one query; return whether a valid response came in time."""
-        self.query_id = query_id = (self.query_id + 1) % 65536
-        try:
-            # One socket for each query, so that its errors and late responses cannot affect another.
-            with (
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as connection,
-                gevent.Timeout(RESPONSE_TIMEOUT_S),
-            ):
-                connection.connect(address)
-                connection.send(discovery_protocol.build_query(query_id))
-                while not self._handle_response(connection.recv(MAX_DATAGRAM_BYTES), query_id):
-                    pass
-                self.last_error = ""
-                return True
-        except gevent.Timeout:
-            return False
-        except OSError as error:
-            previous_error = self.last_error
-            self.last_error = f"{type(error).__name__} reason={error.strerror}"
-            if self.last_error != previous_error:  # log a lasting error once, not for each query
-                self.log(f"discovery code=query_failed_{self.last_error}")
-            return False
+    def _await_subscription(self, session: DirectorySession) -> None:
+        """Wait until the dispatcher subscribes to the list; end a subscription that is without response."""
+        silent_since_s = max(session.responded_at_s, self.subscribed_at_s)
+        if self.facade.list_subscribed.is_set() and monotonic() - silent_since_s >= UNAVAILABLE_AFTER_S:
+            self.facade.list_subscribed.clear()
+            self.facade.update_engines(names.LIST_UNAVAILABLE, [])
+        if not self.facade.list_subscribed.is_set():
+            self.facade.list_subscribed.wait()
+            self.subscribed_at_s = monotonic()
 
     def _handle_response(self, packet: bytes, query_id: int) -> bool:
         """Pass a newer list on to the facade; return whether the response was valid."""
-        if packet[2:] == self.last_response and packet[:2] == query_id.to_bytes(2, "big"):
+        if packet[2:] == self.last_response:
             return True
         try:
             # Lists with an older serial are not parsed: they would restore engines that are draining.
--- a/pathturn/wire/discovery_protocol.py
+++ b/pathturn/wire/discovery_protocol.py
@@ -72,6 +72,11 @@
     return HEADER.pack(query_id, RECURSION_DESIRED, 1, 0, 0, 0) + QUESTION
 
 
+def response_id(packet: bytes) -> int | None:
+    """Return the id of the query that a packet responds to, None if it has none."""
+    return UINT16.unpack_from(packet)[0] if len(packet) >= UINT16.size else None
+
+
 def parse_response(packet: bytes, query_id: int, last_serial: int = -1) -> tuple[int, list[tuple] | None]:
     """Return the serial and the list of engines; None for the list if its serial is not above `last_serial`.
 
