Each response is recorded where it is read, also behind a given-up request

Cause: EngineConnection.call remembered results and marked connections that brought a failure, but await_pending_response, which reads the response of a request that was given up, and call_control, for what it skips, read past it. A late copy of such a result was taken for the next request's own, and the connection was one response behind from then on. A copy of a 503 told the next request that it had never run.

Change: read_response records each response itself: failures, results, and whether a result repeats a recent one. No reader can pass it by.

--- a/pathturn/wire/engine_connection.py
+++ b/pathturn/wire/engine_connection.py
@@ -12,7 +12,7 @@
 from pathturn.memory.buffers import BufferPool
 from pathturn.memory.engine_registry import Endpoint
 from pathturn.wire import engine_protocol
-from pathturn.wire.engine_protocol import ResultFingerprint
+from pathturn.wire.engine_protocol import OK, SERVER_ERROR, Response, ResultFingerprint
 from pathturn.wire.http import MAX_BODY_BYTES, MalformedResponseError, ResponseParser
 
 # SO_LINGER with a timeout of zero: closing resets the connection and discards unsent data.
@@ -20,7 +20,6 @@
 # Results remembered for each connection, which bounds its memory; a connection that has received more within
 # the duplicate window is not reused.
 MAX_RECENT_RESULTS = 1024
-OK = 200
 POLL_STATUSES = (OK, 202)  # sent only in response to polls and page requests
 # A response that equals one received so recently on the same connection may be a duplicate of it: duplicates
 # have been seen up to 0.7 s late. Responses to control requests are all equal.
@@ -66,6 +65,11 @@
     """The connection was closed before the request was sent completely, so it had no effect."""
 
 
+def never_known(fingerprint: ResultFingerprint) -> bool:
+    """Treat every result that equals a recent one as a possible duplicate."""
+    return False
+
+
 def nothing_to_read(connection: socket.socket) -> bool:
     """Return whether the socket has neither unread data nor EOF. Waiting readers are not woken."""
     timeout_s = connection.gettimeout()
@@ -154,13 +158,9 @@
         self,
         request: bytes,
         timeout_s: float,
-        is_known: Callable[[ResultFingerprint], bool] = lambda fingerprint: False,
-    ) -> tuple[int, dict[str, str], bytes]:
-        """Send a request and return its response as status, header fields and body.
-
-        Raise SuspectedDuplicateError for a result that equals a recent one, unless it is known to be the
-        request's own.
-        """
+        is_known: Callable[[ResultFingerprint], bool] = never_known,
+    ) -> Response:
+        """Send a request and return its response as `read_response` does."""
         self.requests += 1
         self.response_pending = True
         self.socket.settimeout(timeout_s)
@@ -168,13 +168,21 @@
             self.socket.sendall(request)
         except OSError as error:
             raise RequestNotSentError(type(error).__name__) from error
-        response = self.read_response()
-        self.had_server_error |= response[0] >= 500
-        if (fingerprint := engine_protocol.result_fingerprint(*response)) is not None:
-            is_repeated = self._remember_result(fingerprint)
-            if is_repeated and not is_known(fingerprint):
-                raise SuspectedDuplicateError(fingerprint)
-        return response
+        return self.read_response(is_known)
+
+    def _record_response(self, response: Response, is_known: Callable[[ResultFingerprint], bool]) -> None:
+        """Remember what a response means for the next ones on this connection.
+
+        Every response passes here, whatever it is read for: a duplicate of one that does not would be taken
+        for the response to a later request.
+        """
+        self.had_server_error |= response[0] >= SERVER_ERROR
+        fingerprint = engine_protocol.result_fingerprint(*response)
+        if fingerprint is None:
+            return
+        is_repeated = self._remember_result(fingerprint)
+        if is_repeated and not is_known(fingerprint):
+            raise SuspectedDuplicateError(fingerprint)
 
     def _remember_result(self, fingerprint: ResultFingerprint) -> bool:
         """Remember a result; return whether it equals one received within the duplicate window."""
@@ -208,8 +216,12 @@
             raise ConnectionLostError("duplicate")
         return response[0]
 
-    def read_response(self) -> tuple[int, dict[str, str], bytes]:
-        """Read the pending response, or the rest of it."""
+    def read_response(self, is_known: Callable[[ResultFingerprint], bool] = never_known) -> Response:
+        """Return the pending response as status, header fields and body; a part may have been read already.
+
+        Raise SuspectedDuplicateError for a result that equals a recent one, unless it is known to be the
+        request's own.
+        """
         try:
             with self.buffers.borrowed() as buffer:
                 while not self.parser.feed(self._receive(buffer)):
@@ -218,11 +230,13 @@
                     self._receive_surplus(buffer)
             self.response_pending = False
             self.expired = None
-            return self.parser.take()
+            response = self.parser.take()
         except OSError as error:
             raise ConnectionLostError(type(error).__name__) from error
         except MalformedResponseError as error:
             raise ConnectionLostError(str(error)) from error
+        self._record_response(response, is_known)
+        return response
 
     def _receive_surplus(self, buffer: memoryview) -> None:
         """Parse what has arrived behind a result: it may belong to that, if its length is too small."""
--- a/pathturn/wire/engine_protocol.py
+++ b/pathturn/wire/engine_protocol.py
@@ -29,7 +29,11 @@
 ROWS = re.compile(rb"(?:[^\x00-\x1f]*\t[^\x00-\x1f]*\t[^\x00-\x1f]*\n)*")
 # Milliseconds of cost (some days) or megabytes of memory (a petabyte); larger values are implausible.
 MAX_REPORTED_VALUE = 1e9
-STATUSES = frozenset({200, 202, 500, 503, 504})
+# Status, header fields by lower-case name, and body.
+Response = tuple[int, dict[str, str], bytes]
+OK = 200
+SERVER_ERROR = 500  # the lowest status of a failure
+STATUSES = frozenset({OK, 202, SERVER_ERROR, 503, 504})
 STILL_RUNNING = 202
 CONTROL_ACCEPTED = 204  # the only status that confirms a cancellation or a change of priority
 
--- a/pathturn/wire/exchange.py
+++ b/pathturn/wire/exchange.py
@@ -17,12 +17,11 @@
     RequestNotSentError,
     SuspectedDuplicateError,
 )
-from pathturn.wire.engine_protocol import ResultFingerprint
+from pathturn.wire.engine_protocol import Response, ResultFingerprint
 from pathturn.wire.http import MalformedResponseError
 from pathturn.wire.result_completeness import ResultCompleteness
 from pathturn.wire.result_verification import ResultVerification, StatementKey
 
-Response = tuple[int, dict[str, str], bytes]
 # A repeated request recovers a corrupted response; after so many failures in a row the result is lost.
 MAX_TRIES = 6
 RETRY_BACKOFF_S = 0.01
@@ -84,7 +83,9 @@
         if self.connection is None or not self.connection.response_pending:
             return
         responses: list[Response] = []
-        self._call_in_time(lambda: responses.append(self.connection.read_response()))
+        self._call_in_time(lambda: responses.append(self.connection.read_response(self._is_known_result)))
+        if responses:
+            self._record_result(responses[0])
         if responses and not self._may_be_unknown(responses[0]):
             self.start_acknowledged = True
 
--- a/pathturn/wire/result_completeness.py
+++ b/pathturn/wire/result_completeness.py
@@ -7,8 +7,8 @@
 import re
 from enum import Enum
 
-Response = tuple[int, dict[str, str], bytes]
-OK = 200
+from pathturn.wire.engine_protocol import OK, Response
+
 COLUMNS = 3
 CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0b-\x1f]")
 
--- a/tests/test_late_duplicates.py
+++ b/tests/test_late_duplicates.py
@@ -127,3 +127,44 @@
         result_rows(0),
         result_rows(3),
     ]
+
+
+class DuplicateBehindCancelledBatchEngine:
+    """Answers the start of batch 1 late, and sends a duplicate of that before the result of batch 2."""
+
+    RESULT_DELAY_S = 0.1
+    OWN_RESULT_DELAY_S = 0.01
+
+    def __init__(self, engine) -> None:
+        self.respond: Callable = engine.respond
+        self.duplicate_sent = False
+        engine.send_status = self.send_status
+
+    def send_status(self, connection, ticket: str) -> None:
+        number = int(ticket, 16)
+        if number == 1:
+            gevent.sleep(self.RESULT_DELAY_S)
+        if number == 2 and not self.duplicate_sent:
+            self.duplicate_sent = True
+            self.respond(connection, 200, RESULT_FIELDS, result_rows(1))
+            gevent.sleep(self.OWN_RESULT_DELAY_S)
+        self.respond(connection, 200, RESULT_FIELDS, result_rows(number))
+
+
+def test_a_duplicate_behind_a_cancelled_batch_ends_no_other_batch(rig) -> None:
+    """Guards against rows of a batch whose client gave up before its result came, served to the next ones."""
+    rig.set("limits.secondCopies", "false")
+    rig.engine("e", "rows:1")
+    DuplicateBehindCancelledBatchEngine(rig.engines["e"])
+    rig.start()
+    rig.call(1, "look")
+    wait_until(lambda: rig.engines["e"].starts)
+    rig.abort(1)
+    wait_until(lambda: any(request[0] == "DELETE" for request in rig.engines["e"].requests))
+    rig.idle()
+    for number in (2, 3, 4):
+        rig.call(number, "look")
+        wait_until(lambda number=number: number in rig.answers)
+    assert [returned_rows(rig, number) for number in (2, 3, 4)] == [
+        result_rows(number) for number in (2, 3, 4)
+    ]
