A page is requested again if bytes come in place of the next page's response

Callers saw: results of several pages without some rows of a page that is not the last, where a Content-Length is too small and the other rows arrive in a later segment.

Cause: the page was accepted before those rows came. They were read in place of the next page's response, which was requested again, while the page that they belong to stayed as it was.

Change: a response that cannot be parsed, on the connection that carried the page before, puts that page in doubt, and it is requested again. The same rows a second time confirm it, so noise behind every response costs at most four calls a page, measured by a test. A copy of a page is a valid response and puts nothing in doubt.

--- a/pathturn/wire/dispatch_executor.py
+++ b/pathturn/wire/dispatch_executor.py
@@ -194,13 +194,8 @@
 
     def _fetch_rows(self, exchange: Exchange, pages: int, first_page: bytes) -> bytes | None:
         """Return the complete result, or None if the engine has lost a page or the result is too large."""
-        rows = [first_page]
-        for number in range(1, pages):
-            if (page := exchange.page(number)) is None:
-                return None
-            rows.append(page)
-        result = b"".join(rows)
-        return result if len(result) <= engine_protocol.MAX_RESULT_BYTES else None
+        rows = exchange.fetch_rows(pages, first_page)
+        return rows if rows is not None and len(rows) <= engine_protocol.MAX_RESULT_BYTES else None
 
     def _report(
         self,
--- a/pathturn/wire/engine_connection.py
+++ b/pathturn/wire/engine_connection.py
@@ -52,6 +52,10 @@
     """The connection was closed, or its data became invalid, before the response was complete."""
 
 
+class CorruptedResponseError(ConnectionLostError):
+    """What the engine sent is no valid response."""
+
+
 class SuspectedDuplicateError(ConnectionLostError):
     """The result equals one received on this connection a short time ago: it is either a duplicate of that,
     or the engine gives equal results."""
@@ -234,7 +238,7 @@
         except OSError as error:
             raise ConnectionLostError(type(error).__name__) from error
         except MalformedResponseError as error:
-            raise ConnectionLostError(str(error)) from error
+            raise CorruptedResponseError(str(error)) from error
         self._record_response(response, is_known)
         return response
 
--- a/pathturn/wire/exchange.py
+++ b/pathturn/wire/exchange.py
@@ -12,6 +12,7 @@
 from pathturn.wire.engine_connection import (
     ConnectFailedError,
     ConnectionLostError,
+    CorruptedResponseError,
     DispatchTimeoutError,
     EngineConnection,
     RequestNotSentError,
@@ -19,7 +20,7 @@
 )
 from pathturn.wire.engine_protocol import Response, ResultFingerprint
 from pathturn.wire.http import MalformedResponseError
-from pathturn.wire.result_completeness import ResultCompleteness
+from pathturn.wire.result_completeness import ResultCompleteness, ResultPages
 from pathturn.wire.result_verification import ResultVerification, StatementKey
 
 # A repeated request recovers a corrupted response; after so many failures in a row the result is lost.
@@ -49,6 +50,9 @@
         # A connection that received a result which may be a duplicate; kept until the engine's next response.
         self.suspected: tuple[EngineConnection, ResultFingerprint] | None = None
         self.completeness = ResultCompleteness()
+        # The last page received, and the connection that carried it.
+        self.last_page: tuple[int, EngineConnection | None] = (0, None)
+        self.result_pages: ResultPages | None = None
         self.close_code = "no_response"  # logged when the connection is closed
         self.query_expiry_us = 0  # by then the engine has ended the query, unless it is polled again
         # Whether the engine has answered the start or a request about it.
@@ -133,11 +137,35 @@
         self.start_acknowledged = True
         return pages, response
 
-    def page(self, number: int) -> bytes | None:
-        """Return a page of the result, None if the engine has lost it."""
-        found, response = self._request_page(number, partial(engine_protocol.is_page, number))
+    def fetch_rows(self, pages: int, first_page: bytes) -> bytes | None:
+        """Return the rows of a result of so many pages, None if the engine has lost one of them."""
+        self._note_page(0)
+        self.result_pages = ResultPages(pages, first_page)
+        while (number := self.result_pages.next_missing()) is not None:
+            page = self._page(number)
+            if page is None:
+                return None
+            self.result_pages.add(number, page)
+        return self.result_pages.rows()
+
+    def _page(self, number: int) -> bytes | None:
+        check = partial(engine_protocol.is_page, number) if number else engine_protocol.page_count
+        found, response = self._request_page(number, check)
+        self._note_page(number)
         return response[2] if found else None
 
+    def _note_page(self, number: int) -> None:
+        self.last_page = (number, self.connection)
+
+    def _doubt_last_page(self, error: ConnectionLostError) -> None:
+        """Have the last page requested again if its connection brought no valid response behind it: with a
+        length that is too small, the other rows of the page may have come in place of one."""
+        if not isinstance(error, CorruptedResponseError) or self.result_pages is None:
+            return
+        number, connection = self.last_page
+        if connection is not None and connection is self.connection:
+            self.result_pages.doubt(number)
+
     def _request_page(self, number: int, check: Callable[..., int]) -> tuple[int, Response]:
         """Request a page, and again on a new connection if its response is lost or invalid."""
         for tries in range(MAX_TRIES):
@@ -154,6 +182,7 @@
             except ConnectFailedError as error:
                 raise ConnectionLostError("connect_failed") from error
             except ConnectionLostError as error:
+                self._doubt_last_page(error)
                 self._release_lost_connection(error)
         raise ConnectionLostError("retries_exhausted")
 
--- a/pathturn/wire/result_completeness.py
+++ b/pathturn/wire/result_completeness.py
@@ -1,4 +1,4 @@
-"""Decides whether a page of a result is complete if the engine sent bytes behind it. Does no I/O.
+"""Decides whether the pages of a result are complete if the engine sent bytes behind them. Does no I/O.
 
 A `Content-Length` that is too small by whole rows leaves a valid response, and the other rows arrive as
 bytes behind it. Such bytes may as well be a second copy of the response, or noise; then it is complete.
@@ -60,3 +60,38 @@
         if kind is Surplus.UNKNOWN:
             self.unconfirmed_pages.add(page)
         return kind is Surplus.UNKNOWN and was_received_before
+
+
+class ResultPages:
+    """The pages of one result as they are received.
+
+    A page may come into doubt after it was received, as bytes arrived behind it. It is missing then until it
+    has been received again; with the same rows it is never in doubt again, so that the requests are bounded.
+    """
+
+    def __init__(self, pages: int, first_page: bytes) -> None:
+        self.pages = [first_page, *[b""] * (pages - 1)]
+        self.missing = set(range(1, pages))
+        self.doubted: set[int] = set()
+        self.confirmed: set[int] = set()
+
+    def next_missing(self) -> int | None:
+        """Return the number of the next page to request, None if all are there."""
+        return min(self.missing, default=None)
+
+    def add(self, number: int, page: bytes) -> None:
+        """Record a page that was received."""
+        if number in self.doubted and self.pages[number] == page:
+            self.confirmed.add(number)
+        self.pages[number] = page
+        self.missing.discard(number)
+
+    def doubt(self, number: int) -> None:
+        """Record that bytes arrived behind a page after it was received."""
+        if number not in self.confirmed:
+            self.doubted.add(number)
+            self.missing.add(number)
+
+    def rows(self) -> bytes:
+        """Return the rows of all pages."""
+        return b"".join(self.pages)
--- a/tests/test_response_copies.py
+++ b/tests/test_response_copies.py
@@ -164,8 +164,7 @@
         pages, (status, _, body) = self.start(exchange)
         while status == RUNNING:
             pages, (status, _, body) = exchange.poll()
-        rows = [body, *(exchange.page(number) for number in range(1, pages))]
-        return b"".join(rows)
+        return exchange.fetch_rows(pages, body) if pages else b""
 
     def check_rows(self, ticket: str) -> None:
         exchange = self.exchange(ticket)
--- a/tests/test_result_completeness.py
+++ b/tests/test_result_completeness.py
@@ -2,17 +2,18 @@
 
 from collections.abc import Callable
 
-import gevent
 import pytest
 from test_close_range import returned_rows, wait_until
 
 from pathturn.standins.engines import VALID_RESPONSE
 from pathturn.wire.http import ResponseParser
-from pathturn.wire.result_completeness import ResultCompleteness, Surplus, classify_surplus
+from pathturn.wire.result_completeness import ResultCompleteness, ResultPages, Surplus, classify_surplus
 
 PAGES = 3
 ROWS_OF_A_PAGE = 4
 ROW_BYTES = len(b"0\t0\t0000\n")
+# Two answers that are the same, and two requests that found noise in place of an answer.
+MAX_CALLS_A_PAGE = 4
 # Text that may be the beginning of a row, as nothing ends it.
 TEXT_NOISE = b"noise"
 FOREIGN_BYTES = [
@@ -34,19 +35,21 @@
 
 class EngineWithSurplus:
     """Answers with results of three pages; `frame` makes the segments of a page's response from its head
-    fields and its rows."""
+    fields and its rows. Segments behind the first are sent before the next response on the connection."""
 
     def __init__(self, engine, frame: Callable[[int, bytes, bytes], list[bytes]]) -> None:
         self.frame = frame
+        self.late_segments: dict[object, bytes] = {}
         engine.send_status = lambda connection, ticket: self.send_page(connection, ticket, "0")
         engine.send_page = self.send_page
 
     def send_page(self, connection, ticket: str, number: str) -> None:
         page = int(number)
         fields = b"X-Page: %d" % page if page else b"X-Pages: %d\r\nX-Cost-Ms: 5\r\nX-Needed-Mb: 1" % PAGES
-        for segment in self.frame(page, fields, page_rows(page)):
-            connection.sendall(segment)
-            gevent.sleep(0)
+        first_segment, *late_segments = self.frame(page, fields, page_rows(page))
+        late_segment = self.late_segments.pop(connection, b"")
+        self.late_segments[connection] = b"".join(late_segments)
+        connection.sendall(late_segment + first_segment)
 
 
 def response(fields: bytes, length: int, rows: bytes) -> bytes:
@@ -56,8 +59,10 @@
 class ShortLength:
     """Frames one page, the first time, with a length that ends behind some of its rows."""
 
-    def __init__(self, page: int, rows: int) -> None:
+    def __init__(self, page: int, rows: int, late: bool = False) -> None:
+        """With `late` the other rows are sent after the response with that length."""
         self.page = page
+        self.late = late
         self.length = rows * ROW_BYTES
         self.sent = False
 
@@ -65,7 +70,9 @@
         if page != self.page or self.sent:
             return [response(fields, len(rows), rows)]
         self.sent = True
-        return [response(fields, self.length, rows)]
+        whole = response(fields, self.length, rows)
+        end = len(whole) - len(rows) + self.length
+        return [whole[:end], whole[end:]] if self.late else [whole]
 
 
 @pytest.mark.parametrize("group", ["look", "pay"])
@@ -86,6 +93,35 @@
     rig.idle()
 
 
+@pytest.mark.parametrize("rows", range(1, ROWS_OF_A_PAGE))
+@pytest.mark.parametrize("page", range(PAGES - 1))
+def test_rows_that_arrive_in_place_of_the_next_page_are_not_lost(rig, page: int, rows: int) -> None:
+    """Guards against pages without the rows that came in a later segment than the end that their
+    Content-Length tells."""
+    rig.engine("e")
+    EngineWithSurplus(rig.engines["e"], ShortLength(page, rows, late=True))
+    rig.start()
+    rig.call(1, "pay")
+    wait_until(lambda: 1 in rig.answers)
+    assert returned_rows(rig, 1) == WHOLE_RESULT
+    rig.asked("e", "POST", 1)
+    rig.asked("e", "GET", PAGES + 1)
+    rig.idle()
+
+
+@pytest.mark.parametrize("noise", [TEXT_NOISE, FOREIGN_BYTES[0], b"a\tb\tc\n"])
+def test_noise_that_arrives_behind_each_response_costs_a_bounded_number_of_calls(rig, noise: bytes) -> None:
+    rig.engine("e")
+    EngineWithSurplus(rig.engines["e"], lambda page, fields, rows: [response(fields, len(rows), rows), noise])
+    rig.start()
+    for number in (1, 2):
+        rig.call(number, "pay")
+        wait_until(lambda number=number: number in rig.answers)
+        assert returned_rows(rig, number) == WHOLE_RESULT
+    rig.asked("e", "POST", 2)
+    assert sum(request[0] == "GET" for request in rig.engines["e"].requests) <= 2 * MAX_CALLS_A_PAGE * PAGES
+
+
 def test_a_length_that_is_always_too_small_serves_no_incomplete_result(rig) -> None:
     """Guards against taking an incomplete page for a complete one because it came twice."""
     rig.engine("e")
@@ -165,6 +201,20 @@
     assert completeness.is_confirmed(other_rows, None)
 
 
+def test_a_doubted_page_is_missing_until_it_came_the_same_twice() -> None:
+    pages = ResultPages(2, b"0\n")
+    pages.add(1, b"1\n")
+    pages.doubt(0)
+    assert pages.next_missing() == 0
+    pages.add(0, b"0\n0\n")
+    assert pages.next_missing() is None
+    pages.doubt(0)
+    assert pages.next_missing() == 0
+    pages.add(0, b"0\n0\n")
+    pages.doubt(0)
+    assert pages.next_missing() is None and pages.rows() == b"0\n0\n1\n"
+
+
 def test_rows_behind_a_page_are_never_confirmed_by_a_second_time() -> None:
     completeness = ResultCompleteness()
     page = (200, {"x-page": "1"}, b"a\tb\tc\n")
