--- a/review/stage2.py
+++ b/review/stage2.py
@@ -30,6 +30,11 @@
 PAGE_BYTES = 6000
 PUSHED_BACK = -32066
 SRV, SOA, TXT, A = 33, 6, 16, 1
+# A station's link: how often it is read, and segments and a buffer as on a common network, as loopback's are
+# larger.
+READS_PER_S = 10
+SEGMENT_BYTES = 1460
+RECEIVE_BUFFER_BYTES = 4096
 
 
 class Record:
@@ -684,6 +689,70 @@
         self.writer.close()
 
 
+class Station:
+    """A client that reads its connection at the rate of its link."""
+
+    def __init__(self, record: Record, gateway: Gateway, bytes_per_s: float, name: str = "station") -> None:
+        """`bytes_per_s` is 0 for a link that carries everything at once."""
+        self.record, self.bytes_per_s = record, bytes_per_s
+        self.name = name
+        self.client = Client(name, record, gateway.port)
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        self.socket.connect(("127.0.0.1", gateway.port))
+        self.socket.setblocking(False)
+        self.received = 0
+        self.partial = bytearray()
+        self.ended_at: float | None = None
+        self.reader = asyncio.ensure_future(self._read())
+
+    async def close(self) -> None:
+        self.reader.cancel()
+        await asyncio.gather(self.reader, return_exceptions=True)
+        self.socket.close()
+
+    async def send(self, group: str, statement: str, patience_ms: int, **options: str) -> Request:
+        request, line = self.client.line(group, statement, patience_ms, weight=300.0, **options)
+        await asyncio.get_running_loop().sock_sendall(self.socket, line)
+        request.sent = time.time()
+        self.record(
+            f"{self.name} -> id={request.id} {group} {request.trace} patience={patience_ms} {statement!r}"
+        )
+        return request
+
+    async def _read(self) -> None:
+        loop = asyncio.get_running_loop()
+        free_at = time.time()
+        while True:
+            # What a link of this rate has carried by now.
+            size = 65_536
+            if self.bytes_per_s:
+                free_at = max(free_at, time.time() - 1 / READS_PER_S) + 1 / READS_PER_S
+                await asyncio.sleep(max(0, free_at - time.time()))
+                size = int(self.bytes_per_s / READS_PER_S)
+            try:
+                data = await loop.sock_recv(self.socket, size)
+            except OSError as error:
+                data = b""
+                self.record(f"{self.name}: {error!r}")
+            if not data:
+                self.ended_at = time.time()
+                self.record(
+                    f"{self.name}: the gateway ended the connection, {self.received} bytes received, "
+                    f"{len(self.partial)} of them of an incomplete answer"
+                )
+                return
+            self.received += len(data)
+            self.partial += data
+            while (end := self.partial.find(b"\n")) >= 0:
+                message = json.loads(bytes(self.partial[:end]))
+                del self.partial[: end + 1]
+                kind = "result" if "result" in message else f"error {message['error']['code']}"
+                self.record(f"{self.name} <- id={message['id']} {kind}, {end + 1} bytes")
+                self.client.requests[message["id"]].answers.append((time.time(), message))
+
+
 async def settle(*requests: Request, seconds: float) -> None:
     """Wait until all of these have an answer or were taken back, or that long."""
     until = time.time() + seconds
