Review case 10: rows that come in a segment behind a too small length are left out

Cause: bytes behind a result are looked for only in what lies in the socket when its length is reached; for the last page no later response shows them.

Change: review/10; the stand-ins end their tasks and sockets at the end of a case. Nothing is fixed.

--- a/review/stage2.py
+++ b/review/stage2.py
@@ -232,6 +232,14 @@
         count = int(argument(query.statement, "rows", 3))
         return [f"{query.ticket}\t{number}\tvalue-{number}\n" for number in range(count)]
 
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for task in self.background:
+            task.cancel()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def running(self) -> int:
         return sum(query.ended is None for query in self.queries.values())
 
@@ -797,6 +805,11 @@
             for line in gateway.log.read_text(errors="replace").splitlines():
                 shown = line.replace(str(ROOT), ".").replace(str(self.folder), "TEMPORARY")
                 self.record(f"log of {gateway.name}: {shown}")
+        for client in self.clients:
+            client.close()
+        for engine in self.engines:
+            engine.close()
+        await asyncio.sleep(0.05)
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
