An aborted request frees its place among the 32 open ones at once

Each rejection cost the connection 50 ms of reading, so that a load written next was read 0.3 s late, behind a load of its key that came 80 ms later on another connection.

Cause: `abort` ended the batch, but `open_batches` lost it only when its greenlet ran, which is after the rest of the same piece of input has been handled.

Evidence: the new test, which looks at nothing but answers and the count of rejections, failed before: 8 of 32 answers were -32051.

Why this works: the place is given up by the abort itself, before the next line is handled. The other ways in which a request ends were looked at: a time-out, a refusal and a result free the place before the answer's first byte is written, so no client can know of them earlier; an id used twice frees it where it is found.

--- a/pathturn/wire/client_connection.py
+++ b/pathturn/wire/client_connection.py
@@ -299,8 +299,8 @@
         and are used once; a client may skip the ids of requests that it decided not to send. Two open
         requests with one id can't be told apart by their answers: both are ended, with one error."""
         if (clash := self.open_batches.get(request_id)) is not None:
-            self.facade.withdraw(clash)
             self.open_batches.pop(request_id)
+            self.facade.withdraw(clash)
             self.reject(request_id, jsonrpc.INVALID_REQUEST)
             return False
         if not self.last_request_id < request_id <= self.last_request_id + MAX_OPEN_BATCHES:
@@ -319,7 +319,12 @@
         self._queue_reply(jsonrpc.errored(request_id, error_code))
 
     def abort(self, request_id: Any) -> None:
-        if type(request_id) is int and (batch := self.open_batches.get(request_id)) is not None:
+        """Withdraw a batch. Its place among the open ones is free at once: by the protocol the client may use
+        it for a request in the same write."""
+        if type(request_id) is not int:
+            return
+        batch = self.open_batches.pop(request_id, None)
+        if batch is not None:
             self.facade.withdraw(batch)
 
     def open_batch(
--- a/tests/test_client_edges.py
+++ b/tests/test_client_edges.py
@@ -394,6 +394,34 @@
     client.close()
 
 
+def abort_line(number: int) -> bytes:
+    return orjson.dumps({"jsonrpc": "2.0", "method": "abort", "params": {"id": number}}) + b"\n"
+
+
+def test_requests_aborted_in_one_write_make_room_for_as_many_in_the_same_write(rig) -> None:
+    """Guards against counting an aborted request as open until its greenlet runs: those written behind the
+    abort were rejected as beyond the limit, and the rejections slowed the connection down."""
+    retried = 8
+    rig.engine("e", "runs:400")
+    rig.start()
+    with socket.create_connection(rig.listen) as client:
+        client.sendall(b"".join(request_line(number) for number in range(1, MAX_OPEN_BATCHES + 1)))
+        connection = connection_of(rig, client)
+        wait_until(lambda: len(connection.open_batches) == MAX_OPEN_BATCHES)
+        aborts = b"".join(abort_line(number) for number in range(1, retried + 1))
+        last = MAX_OPEN_BATCHES + retried
+        client.sendall(
+            aborts + b"".join(request_line(number) for number in range(MAX_OPEN_BATCHES + 1, last + 1))
+        )
+        reader = client.makefile("rb")
+        with gevent.Timeout(5):
+            answers = [orjson.loads(reader.readline()) for _ in range(MAX_OPEN_BATCHES)]
+    assert sorted(each["id"] for each in answers) == list(range(retried + 1, last + 1))
+    codes = [each["error"]["code"] for each in answers if "error" in each]
+    assert jsonrpc.TOO_MANY_OPEN not in codes
+    assert connection.rejections == 0
+
+
 def test_burst_that_evicts_connections_uses_no_reserved_descriptors(rig, monkeypatch) -> None:
     """The readers of the evicted connections wait for input: gevent closes such a socket only in a later
     event loop iteration, and up to a hundred connections are accepted in the current one."""
