The order of a key holds if one of its connections is read late

Cause: the order of a key, and the start of a request's time, were taken from when a request was processed. Only a stall of the whole process was known to differ from when it was written.

Why this works: SocketReader tells a time before which the peer wrote none of what was received, that of the last moment without anything unread; ReadAhead keeps it with each piece that waits. A request that may have been written before one of its key that another connection brought is pushed back by the rule that holds after stalls (order_ambiguous): it has never run. So that a short rest pushes nothing back, a request with a key is processed after 10 ms, as an abort is, unless the connection is over its limit by more than a second.

After a full read the socket has to stay empty for 2 ms.

--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -21,6 +21,8 @@
 class Source(Protocol):
     """The client connection that a batch came from; callers without one pass None."""
 
+    order_identity: object
+
     def read_pending_input(self) -> None: ...
 
 
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -17,6 +17,7 @@
 from gevent.queue import Empty
 
 from pathturn.core import interface as names
+from pathturn.memory.arrival_order import ArrivalOrder
 from pathturn.memory.batches import Batch, Dispatch, End, OpenBatches, Source
 from pathturn.memory.engine_registry import EngineRegistry
 from pathturn.memory.overdue import OverdueBatches
@@ -56,7 +57,7 @@
         self.engine_registry = EngineRegistry()
         self.overdue = OverdueBatches()
         self.events: list[tuple] = []
-        self.first_source_of_key: dict[str, object] = {}
+        self.arrival_order = ArrivalOrder()
         # By key: ended batches whose answer has not been written yet.
         self.unwritten_answers: Counter[str] = Counter()
         self.last_heartbeat_us = clock()
@@ -101,9 +102,15 @@
         data_set: int,
         repeat: bool,
         statement: bytes,
+        written_from_us: int | None = None,
     ) -> Batch:
-        """Open a batch, and queue its event for the next round."""
-        deadline_us = self.clock() + left_us - self._read_delay_us()
+        """Open a batch, and queue its event for the next round.
+
+        Its client wrote it no earlier than `written_from_us`, from which its time is counted; without one it
+        was written just now.
+        """
+        written_from_us = self._written_from_us(written_from_us)
+        deadline_us = written_from_us + left_us
         batch = self.batches.open(source, ticket, group, nonce, key, statement, deadline_us)
         if self.router is not None:
             batch.attributes = self.make_attributes(group, customer, key, data_set, ticket)
@@ -124,16 +131,26 @@
             repeat,
             batch.destination,
         )
-        # The event loop handles the sockets that became readable last first. After a stall, batches of one
-        # key that arrived on two connections may be read in reverse order, and no arrival times are known.
-        if (
-            key is not None
-            and self.first_source_of_key.setdefault(key, source) is not source
-            and self._stalled()
-        ):
-            self._add_event("order_ambiguous", batch.index)
+        if key is not None and self.groups[group].ordered_by_key:
+            self._check_order(batch, written_from_us)
         return batch
 
+    def _written_from_us(self, unread_from_us: int | None) -> int:
+        """Return the time before which input that is processed now was not written. Its connection has not
+        been read since `unread_from_us`, and no connection was during a stall of the process."""
+        after_stall_us = self.clock() - self._read_delay_us()
+        return after_stall_us if unread_from_us is None else min(unread_from_us, after_stall_us)
+
+    def _check_order(self, batch: Batch, written_from_us: int) -> None:
+        """Tell the decision module if a batch may have been written before another one of its key that was
+        received already: after a stall, for example, the event loop handles the sockets that became readable
+        last first."""
+        connection = batch.source.order_identity if batch.source is not None else None
+        if self.arrival_order.is_ambiguous(batch.key, connection, written_from_us):
+            self._add_event("order_ambiguous", batch.index)
+        else:
+            self.arrival_order.record(batch.key, connection, self.clock())
+
     def next_step(self, batch: Batch) -> Dispatch | End:
         """Wait for the batch's next dispatch or its end.
 
@@ -313,7 +330,7 @@
         now = self.clock()
         events, self.events = [self._with_time_left(now, event) for event in self.events], []
         if not self._stalled():
-            self.first_source_of_key.clear()
+            self.arrival_order.forget(now)
         self.round_started_us = now
         if now >= self.wake_at_us:
             self.wake_at_us = inf
--- a/pathturn/wire/client_connection.py
+++ b/pathturn/wire/client_connection.py
@@ -41,10 +41,12 @@
 REJECTION_COST_US = 50_000
 BURST_US = 100_000
 MAX_PAUSE_US = 500_000
-# The longest pause with an abort in the read-ahead. It is not zero, as each piece of a flood may hold an
-# abort.
-ABORT_PAUSE_US = 10_000
-ABORT_METHOD = b'"abort"'
+# The longest pause with something urgent in the input that is not processed: an abort, or a request with an
+# ordering key, as a later one of that key may come on another connection. It is not zero, as each piece of a
+# flood may hold these.
+URGENT_PAUSE_US = 10_000
+# A connection that is over its rate limit by more than this pauses in full, also before such a request.
+MAX_URGENT_KEY_EXCESS_US = 1_000_000
 # How often a connection that is not being read is polled for the client's close: the batches of a client that
 # has disconnected need no answer, and by the protocol the gateway has to know that within 0.1 s.
 CLOSE_POLL_US = 25_000
@@ -75,7 +77,11 @@
         self.send = send
         self.buffers = buffers
         self.is_ready = is_ready
-        self.reader = SocketReader(sock)
+        self.reader = SocketReader(sock, facade.clock)
+        # Identifies this connection among those that bring requests of one ordering key.
+        self.order_identity = object()
+        # No byte of the input being processed was written before this time.
+        self.written_from_us = 0
         self.write_lock = RLock()
         self.open_batches: dict[int, Batch] = {}
         self.answer_greenlets = Group()
@@ -198,13 +204,14 @@
         """Process input until the client closes the connection; return the reason code."""
         while True:
             if self.lines.read_ahead:
-                piece = bytes(self.lines.read_ahead[:BUFFER_BYTES])
-                del self.lines.read_ahead[:BUFFER_BYTES]
-                self._process(memoryview(piece))
+                piece = self.lines.read_ahead.pop()
+                self.written_from_us = piece.written_from_us
+                self._process(memoryview(piece.data))
             else:
                 with self.buffers.borrowed() as buffer:
                     if not (size := self.reader.receive_into(buffer)):
                         return self.code or "client_closed"
+                    self.written_from_us = self.reader.written_from_us
                     self._process(buffer[:size])
             # Also when the rate limit asks for no pause: a socket that always has input would starve the
             # others.
@@ -235,16 +242,16 @@
     def _pause(self) -> bool:
         """Wait until the connection is within its rate limit again. Return whether to go on reading: False if
         the client has closed. Meanwhile input is read ahead as far as there is room, as the client's close
-        takes effect at once and an abort after ABORT_PAUSE_US. Once input is discarded, before the
+        takes effect at once and what is urgent after URGENT_PAUSE_US. Once input is discarded, before the
         half-close, only the client's close matters."""
         if self.discarding_input:
             if not self.half_closed_us:
                 gevent.sleep(CLOSE_POLL_US / 1e6)
             return self.half_closed_us > 0 or not peer_closed(self.socket)
         until_us = min(self.rate_limited_until_us, self.facade.clock() + MAX_PAUSE_US)
-        abort_until_us = min(until_us, self.facade.clock() + ABORT_PAUSE_US)
+        urgent_until_us = min(until_us, self.facade.clock() + URGENT_PAUSE_US)
         while not self.discarding_input:
-            deadline_us = abort_until_us if ABORT_METHOD in self.lines.read_ahead else until_us
+            deadline_us = urgent_until_us if self._has_urgent_input() else until_us
             left_us = deadline_us - self.facade.clock()
             if left_us <= 0:
                 break
@@ -256,10 +263,18 @@
             with gevent.Timeout(left_us / 1e6, False), self.buffers.borrowed() as buffer:
                 if not (size := self.reader.receive_into(buffer[:room])):
                     return False
-                self.lines.read_ahead += buffer[:size]
+                self.lines.read_ahead.append(buffer[:size], self.reader.written_from_us)
                 gevent.sleep(0)
         return True
 
+    def _has_urgent_input(self) -> bool:
+        """Return whether the input that is not processed holds an abort or, unless the connection is far over
+        its rate limit, a request with an ordering key."""
+        if self.lines.may_hold(jsonrpc.ABORT_METHOD):
+            return True
+        excess_us = self.rate_limited_until_us - self.facade.clock()
+        return excess_us <= MAX_URGENT_KEY_EXCESS_US and self.lines.may_hold(jsonrpc.KEY_FIELD)
+
     def _write(self, line: bytes) -> None:
         with self.write_lock:
             try:
@@ -364,6 +379,7 @@
             data_set(statement.decode()),
             repeat,
             statement,
+            self.written_from_us,
         )
         self.open_batches[request_id] = batch
         self.batches_received += 1
--- a/pathturn/wire/jsonrpc.py
+++ b/pathturn/wire/jsonrpc.py
@@ -9,6 +9,7 @@
 import orjson
 
 from pathturn.core import interface as names
+from pathturn.wire.read_ahead import ReadAhead
 
 # Error codes: the first is set by the gateway's protocol, the next two are from JSON-RPC's range for servers,
 # and the others are JSON-RPC's own.
@@ -22,6 +23,9 @@
 
 TICKET_PATTERN = re.compile(r"[0-9a-f]{16}")
 TOKEN_PATTERN = re.compile(r"[\w.:-]{1,64}", re.ASCII)
+# What a line holds that takes a request back, and one whose batch has an ordering key.
+ABORT_METHOD = b'"abort"'
+KEY_FIELD = b'"entity"'
 MAX_NUMBER = 1e7  # three hours of work in ms, ten terabytes in MB: a larger estimate is an error
 
 
@@ -34,14 +38,14 @@
 
     The length of a line is limited, so that one without an end can't fill the memory. Its part received so
     far is kept apart and not searched again with each piece. `read_ahead` is input that is not to be
-    processed yet: it was read to notice an abort in it, or the client's close behind it. Together with the
-    partial line it is at most as long as a line may be.
+    processed yet: it was read to notice what is urgent in it, or the client's close behind it. Together with
+    the partial line it is at most as long as a line may be.
     """
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
         self.partial = bytearray()
-        self.read_ahead = bytearray()
+        self.read_ahead = ReadAhead()
 
     @property
     def read_ahead_room(self) -> int:
@@ -53,6 +57,10 @@
         """Whether there is a partial line or read-ahead that has not been processed."""
         return bool(self.partial or self.read_ahead)
 
+    def may_hold(self, text: bytes) -> bool:
+        """Return whether the input that has not been processed contains this text."""
+        return text in self.read_ahead or text in self.partial
+
     def feed(self, piece: memoryview) -> Iterator[bytes]:
         """Yield the lines that are complete with this piece, except blank ones. Raise StreamError if the line
         that it leaves incomplete is too long."""
--- a/pathturn/wire/reader.py
+++ b/pathturn/wire/reader.py
@@ -1,9 +1,14 @@
 """Socket reads that can be cancelled within one iteration of the event loop."""
 
+from collections.abc import Callable
+
+import gevent
 from gevent import get_hub, socket
 from gevent.hub import Waiter
 
 READ_EVENT = 1  # libev's EV_READ
+# The rest of what the peer wrote follows within this time once the socket's buffer has room again.
+REFILL_S = 0.002
 
 
 class ReadCancelledError(ConnectionError):
@@ -13,10 +18,20 @@
 class SocketReader:
     """Reads from a connection's socket. If a socket is closed while gevent waits for its input, its
     descriptor is released only in a later iteration of the event loop; after `cancel` it is released at
-    once."""
+    once.
+
+    `written_from_us` is a time before which the peer wrote none of the bytes received last: until then it had
+    nothing written that was unread.
+    """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, clock: Callable[[], int]) -> None:
         self.socket = sock
+        self.clock = clock
+        self.written_from_us = clock()
+        self.all_read_at_us = self.written_from_us
+        # Whether the peer may have more written than the socket's buffer took.
+        self.backlogged = False
+        self.refill_checked = False
         self.watcher = get_hub().loop.io(sock.fileno(), READ_EVENT)
         self.waiter: Waiter | None = None
         self.cancelled = False
@@ -28,9 +43,32 @@
             if self.cancelled:
                 raise ReadCancelledError
             try:
-                return self._receive_now(buffer)
+                size = self._receive_now(buffer)
             except BlockingIOError:
-                self._wait()
+                self._wait_for_input()
+            else:
+                self._note_received(size == len(buffer))
+                return size
+
+    def _note_received(self, is_full: bool) -> None:
+        """Note that input was received, and whether there may be more of it than the buffer took."""
+        self.written_from_us = self.all_read_at_us
+        if is_full:
+            self.backlogged = True
+            self.refill_checked = False
+        if not self.backlogged:
+            self.all_read_at_us = self.clock()
+
+    def _wait_for_input(self) -> None:
+        """Wait while the socket is empty. If the peer may have more written than the socket's buffer took,
+        that has arrived once the socket is still empty after `REFILL_S`."""
+        if self.backlogged and not self.refill_checked:
+            self.refill_checked = True
+            gevent.sleep(REFILL_S)
+            return
+        self.backlogged = False
+        self._wait()
+        self.all_read_at_us = self.clock()
 
     def _receive_now(self, buffer: memoryview) -> int:
         """Receive without waiting; raise BlockingIOError if there is no input."""
