A group without a batch under a change has no verdict, whatever `least` is

Cause: CanaryAnalysis._compare left a group out only if it had fewer batches than `least`. With 0 a group of which no batch had ended under the change was compared all the same, and its variance divides by that number.

Why this fix works: at least one batch is asked for on either side before anything is compared; the group counts as without a verdict, so `unclear` decides at the end of the watch. The other divisions of the analysis were read: a share is smoothed and never 0 or 1, control groups are used from 30 batches on, and the overdispersion is 1 or more.

--- a/pathturn/change/canary_analysis.py
+++ b/pathturn/change/canary_analysis.py
@@ -338,9 +338,12 @@
         return affected if affected.batches >= MIN_CONTROL_BATCHES else self.baseline.counts_for(group, False)
 
     def _compare(self, group: str, metric: int, groups: int) -> Finding | None:
+        """Return a finding, or None if there are too few batches on one side to compare. Whatever the policy
+        says, a side without batches can't be compared."""
         treatment = self.treatment[group]
         baseline = self._treatment_baseline(group)
-        if treatment.batches < min(MIN_TREATMENT_BATCHES, self.policy.least) or not baseline.batches:
+        least = max(1, min(MIN_TREATMENT_BATCHES, self.policy.least))
+        if treatment.batches < least or not baseline.batches:
             return None
         estimate = self._shift(group, metric, treatment)
         if estimate is None:
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -6,6 +6,7 @@
 from hypothesis import settings
 from hypothesis import strategies as some
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from msgspec.structs import replace
 
 from benchmarks.change import kill_everywhere
 from pathturn.change import states
@@ -172,6 +173,19 @@
     assert analysis.worst_harm() is not None and not analysis.unjudged_groups()
 
 
+@pytest.mark.parametrize("least", [0, 1, 40])
+def test_group_without_batches_on_one_side_has_no_verdict(least) -> None:
+    """Guards against a division by the batches of the treatment group where the policy asks for none."""
+    policy = replace(POLICY, least=least)
+    analysis = CanaryAnalysis(baseline_of(look=(1000, 10)), policy)
+    add_batches(analysis, CONTROL, "load", 50, 50)  # a group without a baseline, and none by the change
+    add_batches(analysis, UNRELATED, "look", 200, 2)
+    assert analysis.findings() == [] and analysis.worst_harm() is None
+    assert analysis.unjudged_groups() == ["load", "look"]
+    add_batches(analysis, TREATMENT, "load", 50, 50)  # no baseline to compare it with
+    assert analysis.findings() == [] and analysis.unjudged_groups() == ["load", "look"]
+
+
 def test_group_with_a_single_key_is_unjudged() -> None:
     """The canary selects by key, so one side has all batches of the group, which must not pass unjudged."""
     analysis = CanaryAnalysis(baseline_of(look=(1000, 10), load=(100, 1)), POLICY)
