Check every figure of a change's policy, with the value and what to write instead

A canary step without a share was told for the whole list, not for the step.

Cause: the checks knew `watch`, `false_alarms` and two points of the canary, and units converted whatever a float holds.

Why this fix works: each figure has its range in one place (_check_change_policy), and units refuse what is not a number or above 2**53.

--- a/pathturn/config/units.py
+++ b/pathturn/config/units.py
@@ -4,7 +4,9 @@
 """
 
 import re
+from math import isnan
 
+MAX_NUMBER = 2.0**53  # up to here each whole number is exact
 QUANTITY = re.compile(r"\s*(\d+(?:\.\d+)?)\s*([A-Za-z%/µ]+)\s*")
 TIMES = {"us": 1, "µs": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
 SIZES = {"B": 1, "KB": 1_000, "MB": 1_000_000, "GB": 10**9, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
@@ -28,8 +30,20 @@
 
 
 def _to_base_unit(value: object, units: dict[str, float], example: str) -> float:
-    if type(value) in (int, float):
-        return float(value)
+    number = _quantity(value, units, example)
+    if isnan(number):
+        raise ValueError(f"this is not a number; write a value such as {example}")
+    if number > MAX_NUMBER:
+        raise ValueError(f"the number is too large; write a value such as {example}")
+    return number
+
+
+def _quantity(value: object, units: dict[str, float], example: str) -> float:
+    if type(value) is float:
+        return value
+    if type(value) is int:
+        beyond = 2 * int(MAX_NUMBER)
+        return float(max(-beyond, min(value, beyond)))
     match = QUANTITY.fullmatch(value) if isinstance(value, str) else None
     if match is None or match[2] not in units:
         raise ValueError(f"expected a value such as {example}, with one of these units: {', '.join(units)}")
--- a/pathturn/routing/checks.py
+++ b/pathturn/routing/checks.py
@@ -9,7 +9,7 @@
 from math import isclose
 from typing import NamedTuple
 
-from pathturn.config.document import VERSION, Document, Limit, Pool, Route, Split
+from pathturn.config.document import VERSION, CanaryStep, Document, Limit, Pool, Route, Split
 from pathturn.config.read import MAX_FAULTS, Fault, join, run_to_completion, suggest_name
 from pathturn.core.interface import GONE, REFERENCED, EngineEntry, ServiceGroup
 from pathturn.routing.index import RouteIndex
@@ -20,6 +20,8 @@
 MAX_ROUTES = 100_000
 MAX_LIMITS = 10_000
 MAX_WATCH_US = 24 * 3600 * 1_000_000
+MAX_LEAST = 1_000_000
+MIN_FALSE_ALARMS = 1e-9  # the analysis divides it among groups and metrics
 ITEMS_PER_SLICE = 16  # between two yields
 
 
@@ -217,25 +219,50 @@
 
 
 def _check_change_policy(document: Document) -> FaultStream:
+    """Check the figures that the schema allows. `least` may be 0: no group has a verdict without a batch."""
     policy = document.change
-    if not 0 < policy.watch <= MAX_WATCH_US:
-        yield Fault("change.watch", "must be more than 0 and at most 24 hours", "write 60s, for example")
-    if not 0 < policy.false_alarms < 0.5:
-        yield Fault("change.false_alarms", "must be more than 0 and less than 0.5", "write 1%, for example")
-    shares = [step.share for step in policy.canary]
-    if shares != sorted(set(shares)) or 0 in shares:
+    yield from _check_duration("change.watch", policy.watch, "write 60s, for example")
+    if not 0 < policy.harm < 1:
+        yield Fault(
+            "change.harm",
+            f"{policy.harm:g} is not more than 0 and less than 1: any loss or none would count",
+            "write 0.5%, for example",
+        )
+    if not MIN_FALSE_ALARMS <= policy.false_alarms < 0.5:
+        yield Fault(
+            "change.false_alarms",
+            f"{policy.false_alarms:g} is not more than 0 (at least {MIN_FALSE_ALARMS:g}) and less than 0.5",
+            "write 1%, for example",
+        )
+    if policy.least > MAX_LEAST:
+        yield Fault(
+            "change.least",
+            f"{policy.least} batches are never reached, so there would be no verdict",
+            f"write {MAX_LEAST} or less; 40, for example",
+        )
+    yield from _check_canary(policy.canary)
+
+
+def _check_canary(steps: tuple[CanaryStep, ...]) -> FaultStream:
+    shares = [step.share for step in steps]
+    if shares != sorted(set(shares)):
         yield Fault(
             "change.canary",
-            "each step must have a share above 0 and larger than the step before",
+            "each step must have a larger share than the step before",
             "order the steps by share",
         )
-    for position, step in enumerate(policy.canary):
-        if step.hold == 0:
-            yield Fault(
-                f"change.canary[{position}].hold",
-                "a step of zero duration shows nothing",
-                "write 5s, for example",
-            )
+    for position, step in enumerate(steps):
+        path = join("change.canary", position)
+        if step.share == 0:
+            yield Fault(join(path, "share"), "a step of share 0 gets no traffic", "write 5%, for example")
+        yield from _check_duration(join(path, "hold"), step.hold, "write 5s, for example")
+
+
+def _check_duration(path: str, duration_us: int, fix: str) -> FaultStream:
+    if duration_us == 0:
+        yield Fault(path, "a time of zero duration shows nothing: it must be more than 0", fix)
+    elif duration_us > MAX_WATCH_US:
+        yield Fault(path, f"{duration_us} us is too long: it must be at most 24 hours", fix)
 
 
 def _check_shadowed_routes(document: Document, context: ValidationContext) -> FaultStream:
