A stop answers open requests first, whatever fails in the operator's part

Causes: a rollback asked the analysis for its figures before it took effect, so what ended the watch ended the rollback of the watch, of an operator and of the stop. The stop called it first, unguarded, and waited for the ledger and for whoever held the lock. On a related path each request's end was recorded for the analysis before the decision module heard its outcome: a fault there kept the outcome back.

Why this fix works: the rollback depends on neither analysis nor ledger, and runs beside the stop, which waits for it only after the answers, by 31/32 of the time left. One guard takes each step of the operator's stop and logs a fault. A fault of the watch or of recording undoes the change, in those words, and the watch goes on.

--- a/pathturn/change/manager.py
+++ b/pathturn/change/manager.py
@@ -96,6 +96,8 @@
         self.trial_started_us = 0
         self.rollback_us = 0  # duration of the last rollback
         self.stopped = False
+        # What failed when the outcome of a batch was recorded, until the next evaluation.
+        self.recording_fault: Exception | None = None
 
     # Start and stop.
     def start(self, document: Path) -> None:
@@ -131,7 +133,7 @@
             try:
                 self.evaluate_trial()
             except Exception as fault:  # noqa: BLE001 - without this loop a trial would run unsupervised
-                self._roll_back_unevaluated(f"the watch failed: {type(fault).__name__}: {fault}")
+                self._abandon_trial(fault)
 
     def stop(self) -> None:
         """Roll back an open change, as the next start would, and accept no further one."""
@@ -280,7 +282,14 @@
 
     # Supervision of the trial.
     def on_batch_end(self, batch: Batch, end: End) -> None:
-        """Record the outcome of a batch, also of a withdrawn one; the facade calls this."""
+        """Record the outcome of a batch, also of a withdrawn one; the facade calls this. The batch is ended
+        whatever fails here; the next evaluation of the trial reports it."""
+        try:
+            self._record_outcome(batch, end)
+        except Exception as fault:  # noqa: BLE001 - the analysis must not keep a batch from its end
+            self.recording_fault = fault
+
+    def _record_outcome(self, batch: Batch, end: End) -> None:
         now = self.clock()
         attributes = batch.attributes
         outcome = _batch_outcome(batch, end, now, self.facade.groups[batch.group])
@@ -298,6 +307,9 @@
     def evaluate_trial(self) -> None:
         """Evaluate the canary analysis, and advance, keep or roll back the change accordingly."""
         with self.lock:
+            if self.recording_fault is not None:
+                fault, self.recording_fault = self.recording_fault, None
+                raise fault
             change = self.change
             if change is None or self.analysis is None:
                 return
@@ -339,10 +351,11 @@
             self.router.set_candidate(self.candidate_table, change.share, change.id)
         self._log_state(change)
 
-    def _roll_back(self, reason: str, figures: tuple[str, ...] = ()) -> Change:
+    def _roll_back(self, reason: str, figures: tuple[str, ...] | None = None) -> Change:
+        """Roll back the open change. Neither the analysis nor the ledger can keep that from taking effect."""
         started_us = self.clock()
-        if not figures and self.analysis is not None:
-            figures = tuple(map(str, self.analysis.findings()))
+        if figures is None:
+            figures = self._available_figures()
         rolled_back = states.roll_back(self.change, started_us, reason, figures)
         try:
             with gevent.Timeout(
@@ -350,7 +363,7 @@
                 LedgerWriteError(f"not written within {ROLLBACK_WRITE_TIMEOUT_S:g} s"),
             ):
                 self._write(self.ledger.record_step, rolled_back)
-        except LedgerWriteError as fault:
+        except Exception as fault:  # noqa: BLE001 - the next start would roll back anyway
             self.log(f"change {rolled_back.id} code=rollback_not_written fault={fault}")
         # No other greenlet runs here: no batch is dispatched between the switch and the rerouting.
         self.router.activate(self.router.current)
@@ -361,11 +374,27 @@
         self._log_state(rolled_back)
         return rolled_back
 
-    def _roll_back_unevaluated(self, reason: str) -> None:
+    def _available_figures(self) -> tuple[str, ...]:
+        """Return the findings of the analysis as text, none if it fails."""
+        if self.analysis is None:
+            return ()
+        try:
+            return tuple(map(str, self.analysis.findings()))
+        except Exception as fault:  # noqa: BLE001 - a rollback must not depend on the analysis
+            self.log(f"change code=figures_unavailable fault={type(fault).__name__}")
+            return ()
+
+    def _abandon_trial(self, fault: Exception) -> None:
+        """Roll back the open change because its watch failed. If that fails too, the next evaluation tries
+        again."""
+        reason = f"the watch failed: {type(fault).__name__}: {fault}"
         self.log(f"change code=evaluation_failed reason={reason}")
-        with self.lock:
-            if self.change is not None:
-                self._roll_back(reason)
+        try:
+            with self.lock:
+                if self.change is not None:
+                    self._roll_back(reason, ())
+        except Exception as rollback_fault:  # noqa: BLE001 - the watch must go on
+            self.log(f"change code=rollback_failed fault={type(rollback_fault).__name__}")
 
     def _clear_change(self, unused: RoutingTable) -> None:
         """Close the change, and free the unused table in the background: a large one takes 20 ms."""
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -38,11 +38,12 @@
 # time limit of a service group has passed as well; limits longer than the maximum count as the maximum.
 SHUTDOWN_GRACE_S = 0.7
 MAX_TIME_LIMIT_S = 3.0
-# Shares of the time left by which the batches are ended, their answers written, and the connections closed
-# by both sides.
+# Shares of the time left by which the batches are ended, their answers written, the connections closed by
+# both sides, and the operator's part stopped.
 BATCHES_ENDED_SHARE = 13 / 16
 ANSWERS_WRITTEN_SHARE = 14 / 16
 CONNECTIONS_CLOSED_SHARE = 15 / 16
+OPERATOR_STOPPED_SHARE = 31 / 32
 # Intervals allowed after such a wait has timed out: enough to read what has arrived, to run a round, and to
 # write the answers.
 INTERVALS_AFTER_TIMEOUT = 8
@@ -203,13 +204,14 @@
     def _shut_down(self) -> None:
         """Answer every open batch before the SIGKILL that follows; batches with later deadlines end early."""
         self.log("stopping")
-        if self.operator is not None:
-            self.operator.stop()
-        gevent.sleep(SHUTDOWN_GRACE_S)
-        self._close_listener()
         left_s = min(
             MAX_TIME_LIMIT_S, max(group.time_limit_us for group in self.facade.groups.values()) / 1e6
         )
+        operator_end_us = self.clock() + int((SHUTDOWN_GRACE_S + OPERATOR_STOPPED_SHARE * left_s) * 1e6)
+        if self.operator is not None:
+            self.operator.begin_stop()
+        gevent.sleep(SHUTDOWN_GRACE_S)
+        self._close_listener()
         self.facade.stop(int(BATCHES_ENDED_SHARE * left_s * 1e6))
         self._wait_while(
             ANSWERS_WRITTEN_SHARE * left_s, lambda: len(self.facade.batches) or self.client_connections.busy()
@@ -219,7 +221,7 @@
             (CONNECTIONS_CLOSED_SHARE - ANSWERS_WRITTEN_SHARE) * left_s, lambda: len(self.client_connections)
         )
         if self.operator is not None:
-            self.operator.close()
+            self.operator.finish_stop((operator_end_us - self.clock()) / 1e6)
         self.log(f"stopped open={len(self.facade.batches)} clients={len(self.client_connections)}")
 
     def _close_listener(self) -> None:
--- a/pathturn/process/operator.py
+++ b/pathturn/process/operator.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Any
 
+import gevent
+
 from pathturn.background.scheduler import Scheduler
 from pathturn.change.ledger import Ledger
 from pathturn.change.manager import ChangeManager
@@ -18,6 +20,9 @@
 from pathturn.routing.checks import ValidationContext
 from pathturn.wire.client_connection import MAX_OPEN_BATCHES
 
+# Closing takes milliseconds where nothing fails.
+CLOSE_TIMEOUT_S = 0.05
+
 
 class Operator:
     """Routing changes at run time and the control socket for them."""
@@ -33,6 +38,8 @@
     ) -> None:
         """Raise an exception if the files can't be used; nothing is in force then."""
         self.facade = facade
+        self.log = log
+        self.rollback: gevent.Greenlet | None = None  # of the change on trial, at a stop
         self.max_open_batches = clients * MAX_OPEN_BATCHES
         self.retry_share = retry_share(settings)
         # Events that wait for a round count as traffic, and background jobs wait for them.
@@ -63,12 +70,34 @@
             self.control.start()
         return [self.scheduler.run, self.change_manager.run]
 
-    def stop(self) -> None:
-        """Undo a change on trial; no further one is accepted."""
-        self.change_manager.stop()
+    def begin_stop(self) -> None:
+        """Undo a change on trial, in a greenlet of its own; no further one is accepted. Returns at once, as
+        requests have to be answered meanwhile."""
+        self.rollback = gevent.spawn(self._guard, "rollback", self.change_manager.stop)
+
+    def finish_stop(self, timeout_s: float) -> None:
+        """Wait until a change on trial is undone, then close everything; give up after the timeout. What is
+        not recorded then is undone at the next start."""
+        with gevent.Timeout(max(0, timeout_s), False):
+            if self.rollback is not None:
+                self.rollback.join()
+        with gevent.Timeout(CLOSE_TIMEOUT_S, False):
+            self.close()
+            return
+        self.log("operator code=stop_timeout")
 
     def close(self) -> None:
-        """Close the control socket and the ledger."""
+        """Close the control socket and the ledger. A ledger waits for a write that is under way, so it is
+        closed in the thread pool."""
+        if self.rollback is not None:
+            self.rollback.kill(block=False)
         if self.control is not None:
-            self.control.stop()
-        self.ledger.close()
+            self._guard("control", self.control.stop)
+        self._guard("ledger", lambda: gevent.get_hub().threadpool.apply(self.ledger.close))
+
+    def _guard(self, part: str, step: Callable[[], None]) -> None:
+        """Take a step of a stop. Whatever fails in it, the gateway answers its requests and ends in order."""
+        try:
+            step()
+        except Exception as fault:  # noqa: BLE001 - see above
+            self.log(f"operator part={part} code=fault_{type(fault).__name__} reason={fault}")
