An open request holds no greenlet; benchmark of clients that use up memory or time

Cause, first part: each open request had a greenlet that waited for its next step, and a queue for that one reader.

Why this works: the source of a batch is told of a dispatch and of the end at once; a greenlet is started for the answer alone. What covers a lost decision is one heap of due times in place of a timer for each request.

The tests that looked at `answer_greenlets` for "an answer is owed" look at `has_pending_answers`, which means what that meant; test_connections_with_input_or_open_batches_are_not_idle has one more case.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-NAMES = ("change", "fleet", "identical", "soak")
+NAMES = ("change", "fleet", "identical", "pressure", "soak")
 
 
 def seeds(text: str) -> tuple[int, int]:
--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Callable
 from itertools import count
-from typing import Protocol
-
-from gevent.queue import SimpleQueue
+from typing import Any, Protocol
 
 from pathturn.memory.engine_registry import Endpoint
 
@@ -19,10 +17,15 @@
 
 
 class Source(Protocol):
-    """The client connection that a batch came from; callers without one pass None."""
+    """The client connection that a batch came from; callers without one pass None.
+
+    It is told what happens to its batches without a switch of greenlets, so it must not wait then.
+    """
 
     order_identity: object
 
+    def start_dispatch(self, dispatch: "Dispatch") -> None: ...
+    def batch_ended(self, batch: "Batch", end: End) -> None: ...
     def read_pending_input(self) -> None: ...
 
 
@@ -38,7 +41,7 @@
         "key",
         "statement",
         "deadline_us",
-        "steps",
+        "request_id",
         "ended",
         "dispatch_count",
         "in_flight",
@@ -66,7 +69,7 @@
         self.index, self.ticket, self.group, self.nonce, self.key = index, ticket, group, nonce, key
         self.statement = statement
         self.deadline_us = deadline_us
-        self.steps: SimpleQueue = SimpleQueue()
+        self.request_id: Any = None  # the client's, set by the source
         self.ended = False
         self.dispatch_count = 0
         self.priority = 1
@@ -80,7 +83,8 @@
         """Set the batch's final outcome; calls after the first have no effect."""
         if not self.ended:
             self.ended = True
-            self.steps.put(end)
+            if self.source is not None:
+                self.source.batch_ended(self, end)
             if self.on_end is not None:
                 self.on_end(self, end)
 
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -1,20 +1,18 @@
-"""Blocking interface to the decision module.
+"""Interface between connections and the decision module.
 
-The greenlet of a batch calls `next_step` to learn where to send it or how to end it, the greenlet
-of a dispatch passes its outcome to `report_outcome`, and a single greenlet runs `run_round` for all
-events received since the last round. The module's events, actions and indices are translated here; no
-decision is taken here.
+The source of a batch is told where to send it and how it ended, the greenlet of a dispatch passes its
+outcome to `report_outcome`, and a single greenlet runs `run_round` for all events received since the last
+round. An open batch has no greenlet of its own, as the stack of that would be most of its memory. The
+module's events, actions and indices are translated here; no decision is taken here.
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from functools import partial
 from math import inf
 from typing import TYPE_CHECKING, Any
 
 from gevent.event import Event
-from gevent.queue import Empty
 
 from pathturn.core import interface as names
 from pathturn.memory.arrival_order import ArrivalOrder
@@ -55,7 +53,7 @@
         self.log_line = log
         self.batches = OpenBatches()
         self.engine_registry = EngineRegistry()
-        self.overdue = OverdueBatches()
+        self.overdue = OverdueBatches(self.batches.by_index)
         self.events: list[tuple] = []
         self.arrival_order = ArrivalOrder()
         # By key: ended batches whose answer has not been written yet.
@@ -112,6 +110,8 @@
         written_from_us = self._written_from_us(written_from_us)
         deadline_us = written_from_us + left_us
         batch = self.batches.open(source, ticket, group, nonce, key, statement, deadline_us)
+        # The client gets an answer soon after the deadline even if a fault lost the batch's events.
+        self.overdue.watch(batch, deadline_us + OVERDUE_US)
         if self.router is not None:
             batch.attributes = self.make_attributes(group, customer, key, data_set, ticket)
             batch.destination = self.router.destination(batch.attributes)
@@ -151,32 +151,18 @@
         else:
             self.arrival_order.record(batch.key, connection, self.clock())
 
-    def next_step(self, batch: Batch) -> Dispatch | End:
-        """Wait for the batch's next dispatch or its end.
-
-        The wait ends soon after the deadline even if a fault lost the batch's events: the client gets an
-        answer all the same.
-        """
-        left_us = max(0, batch.deadline_us + OVERDUE_US - self.clock())
-        try:
-            return batch.steps.get(timeout=left_us / 1e6)
-        except Empty:
-            self.overdue.add(batch)
-            self.work_available.set()
-            return batch.steps.get()
-
-    @contextmanager
-    def writing_answer(self, batch: Batch) -> Iterator[None]:
-        """Mark a batch's answer as being written.
+    def begin_answer(self, batch: Batch) -> None:
+        """Note that a batch's answer is going to be written; `finish_answer` follows.
 
         For the decision module the batch has ended by then, and the next one of its key may be dispatched;
         for the client it has ended only once the answer is written.
         """
         if batch.key is not None:
             self.unwritten_answers[batch.key] += 1
-        try:
-            yield
-        finally:
+
+    def finish_answer(self, batch: Batch) -> None:
+        """Note that a batch's answer has been written, or can't be."""
+        if batch.key is not None:
             self.unwritten_answers -= Counter((batch.key,))
 
     def predecessors_answered(self, dispatch: Dispatch) -> bool:
@@ -319,9 +305,10 @@
         return self._read_delay_us() > 0
 
     def wait_for_work(self) -> None:
-        """Wait for an event, or for the time at which the decision module asked to be woken."""
+        """Wait for an event, until the decision module asked to be woken, or until a batch is overdue."""
         if not self.work_available.is_set():
-            left_s = None if self.wake_at_us == inf else max(0, self.wake_at_us - self.clock()) / 1e6
+            wake_at_us = min(self.wake_at_us, self.overdue.next_due_us())
+            left_s = None if wake_at_us == inf else max(0, wake_at_us - self.clock()) / 1e6
             self.work_available.wait(left_s)
         self.work_available.clear()
 
@@ -338,14 +325,15 @@
         try:
             self.dispatcher.round(now, events, self)
         finally:
-            self._end_overdue()
+            self._end_overdue(now)
 
-    def _end_overdue(self) -> None:
+    def _end_overdue(self, now: int) -> None:
         for batch in self.overdue.after_round():
             self.log_line(f"batch {batch.ticket} overdue")
             self._add_event("batch_withdrawn", batch.index)
             batch.end(End(names.ERRORED))
             self.batches.remove_if_finished(batch)
+        self.overdue.collect(now)
         if self.overdue:
             self.work_available.set()
 
@@ -362,7 +350,8 @@
         dispatch = Dispatch(open_batch, self.engine_registry.endpoint_of[engine], now, now + time_limit_us)
         open_batch.in_flight[open_batch.dispatch_count] = dispatch
         open_batch.dispatch_count += 1
-        open_batch.steps.put(dispatch)
+        if open_batch.source is not None:
+            open_batch.source.start_dispatch(dispatch)
 
     def set_resources(self, batch: int, priority: int, grant_mb: float) -> None:
         open_batch = self.batches.by_index[batch]
--- a/pathturn/standins/engines.py
+++ b/pathturn/standins/engines.py
@@ -91,6 +91,8 @@
 
     def __init__(self, behaviours: Iterable[str]) -> None:
         self.behaviours = list(behaviours) or ["rows:1"]
+        # By service group: the behaviour of all its queries, in place of the one that is next.
+        self.group_behaviours: dict[str, str] = {}
         self.queries: dict[str, tuple[str, float]] = {}
         # The records of requests are bounded, so that long runs do not exhaust the memory of a benchmark.
         self.requests: deque[tuple] = deque(maxlen=MAX_RECORDED_REQUESTS)
@@ -114,7 +116,7 @@
             self.requests.append((method, path, headers, body))
             if method == "POST":
                 ticket = headers["x-ticket"]
-                behaviour = self.behaviours.pop(0) if len(self.behaviours) > 1 else self.behaviours[0]
+                behaviour = self.group_behaviours.get(headers["x-queue"]) or self.next_behaviour()
                 self.starts.append(QueryStart(monotonic(), ticket, headers["x-queue"], behaviour))
                 if behaviour.startswith("slow:"):  # to all others the request is still in transit
                     gevent.sleep(int(behaviour[5:]) / 1000)
@@ -142,6 +144,10 @@
                 self.mark_ended(path.split("/")[2])
                 self.respond(connection, 204)
 
+    def next_behaviour(self) -> str:
+        """Return the behaviour of the next query; the last one is also that of all further queries."""
+        return self.behaviours.pop(0) if len(self.behaviours) > 1 else self.behaviours[0]
+
     def mark_ended(self, ticket: str) -> None:
         if ticket in self.executions:
             self.executions[ticket][2] = min(self.executions[ticket][2], monotonic())
--- a/pathturn/wire/client_connection.py
+++ b/pathturn/wire/client_connection.py
@@ -1,4 +1,4 @@
-"""Client connections: one greenlet reads each connection, and each batch is served by a greenlet of its
+"""Client connections: one greenlet reads each connection, and each answer is written by a greenlet of its
 own."""
 
 from collections.abc import Callable
@@ -156,15 +156,22 @@
         return self._read_until_closed()
 
     def _half_close_when_answered(self) -> None:
-        self.answer_greenlets.join()
+        while self.has_pending_answers:
+            self.answer_greenlets.join()
+            gevent.sleep(CLOSE_POLL_US / 1e6)
         if not self.socket.closed:
             self.half_close(self.code)
 
+    @property
+    def has_pending_answers(self) -> bool:
+        """Whether a batch is open or an answer is being written."""
+        return bool(self.open_batches or self.answer_greenlets)
+
     def safe_to_close(self) -> bool:
         """Whether the connection can be closed without loss: no answer is pending or being written, and a
         client that has sent a complete line before has no request in transit (a partial line, or unread
         input)."""
-        return not self.answer_greenlets and not (
+        return not self.has_pending_answers and not (
             self.line_received and (self.lines.has_input or not nothing_to_read(self.socket))
         )
 
@@ -172,7 +179,7 @@
         """Return the reason code if the connection has exceeded one of its timeouts, else None."""
         if self.half_closed_us:
             return "half_close_timeout" if now - self.half_closed_us > HALF_CLOSE_TIMEOUT_US else None
-        if self.answer_greenlets:
+        if self.has_pending_answers:
             return None
         idle_s = (now - self.last_active_us) / 1e6
         no_request = not self.line_received and idle_s > LINE_TIMEOUT_S
@@ -356,7 +363,7 @@
         repeat: bool,
         statement: bytes,
     ) -> None:
-        """Pass a batch on to the decision module and start the greenlet that serves it."""
+        """Pass a batch on to the decision module."""
         if len(self.open_batches) >= MAX_OPEN_BATCHES:
             self.reject(request_id, jsonrpc.TOO_MANY_OPEN)
             return
@@ -381,24 +388,34 @@
             statement,
             self.written_from_us,
         )
+        batch.request_id = request_id
         self.open_batches[request_id] = batch
         self.batches_received += 1
-        self.answer_greenlets.spawn(self._serve_batch, request_id, batch)
-
-    def _serve_batch(self, request_id: Any, batch: Batch) -> None:
-        """Send the dispatches of a batch until it ends, then write its answer."""
-        while isinstance(step := self.facade.next_step(batch), Dispatch):
-            self.send(step)
-        if self.open_batches.get(request_id) is batch:
-            del self.open_batches[request_id]
+
+    # Callbacks of the facade.
+    def start_dispatch(self, dispatch: Dispatch) -> None:
+        """Send a dispatch of one of this connection's batches."""
+        self.send(dispatch)
+
+    def batch_ended(self, batch: Batch, end: End) -> None:
+        """Write the answer to a batch, unless the client no longer waits for it."""
+        if self.open_batches.get(batch.request_id) is batch:
+            del self.open_batches[batch.request_id]
         self.last_active_us = self.facade.clock()
-        with self.facade.writing_answer(batch):
-            self._write_answer(request_id, step)
+        if end.outcome is not None:
+            self.facade.begin_answer(batch)
+            self.answer_greenlets.spawn(self._answer, batch, end)
+
+    def _answer(self, batch: Batch, end: End) -> None:
+        try:
+            self._write_answer(batch.request_id, end)
+        finally:
+            self.facade.finish_answer(batch)
 
     def _write_answer(self, request_id: Any, end: End) -> None:
         if end.outcome == names.RETURNED:
             self._write(jsonrpc.returned(request_id, end.rows))
         elif end.outcome == names.ERRORED:
             self._write(jsonrpc.errored(request_id))
-        elif end.outcome is not None:
+        else:
             self._write(jsonrpc.pushed_back(request_id, end.retry_us))
--- a/tests/test_client_edges.py
+++ b/tests/test_client_edges.py
@@ -57,7 +57,7 @@
     client = socket.create_connection(rig.listen)
     client.sendall(request_line(1))
     connection = connection_of(rig, client)
-    wait_until(lambda: connection.batches_received and not connection.answer_greenlets)
+    wait_until(lambda: connection.batches_received and not connection.has_pending_answers)
     return client, connection
 
 
@@ -422,6 +422,23 @@
     assert connection.rejections == 0
 
 
+def test_open_requests_hold_no_greenlets(rig) -> None:
+    """Guards against a greenlet for each open request: its stack was most of what a request held."""
+    rig.start()  # no engine, so that the requests wait
+
+    def greenlets() -> int:
+        gc.collect()
+        return sum(isinstance(each, gevent.Greenlet) for each in gc.get_objects())
+
+    client = socket.create_connection(rig.listen)
+    connection = connection_of(rig, client)
+    before = greenlets()
+    client.sendall(b"".join(request_line(number) for number in range(1, MAX_OPEN_BATCHES + 1)))
+    wait_until(lambda: len(connection.open_batches) == MAX_OPEN_BATCHES)
+    assert greenlets() <= before
+    client.close()
+
+
 def test_burst_that_evicts_connections_uses_no_reserved_descriptors(rig, monkeypatch) -> None:
     """The readers of the evicted connections wait for input: gevent closes such a socket only in a later
     event loop iteration, and up to a hundred connections are accepted in the current one."""
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -372,7 +372,7 @@
     client.sendall(request_line(1))
     wait_until(
         lambda: any(
-            connection.batches_received and not connection.answer_greenlets
+            connection.batches_received and not connection.has_pending_answers
             for connection in rig.gateway.client_connections.active
         )
     )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -376,6 +376,7 @@
 def test_connections_with_input_or_open_batches_are_not_idle() -> None:
     connection = ClientConnection.__new__(ClientConnection)
     connection.socket, client = socket.socketpair()
+    connection.open_batches = {}
     connection.answer_greenlets, connection.lines, connection.line_received = (
         set(),
         jsonrpc.LineSplitter(100),
@@ -394,6 +395,9 @@
     assert connection.timeout_reason(2_500_000) == "partial_line" and not connection.safe_to_close()
     connection.answer_greenlets.add(1)
     assert connection.timeout_reason(9_000_000) is None and not connection.safe_to_close()
+    connection.answer_greenlets.clear()
+    connection.open_batches[1] = None
+    assert connection.timeout_reason(9_000_000) is None and not connection.safe_to_close()
 
 
 def test_a_client_that_never_reads_is_disconnected(rig, monkeypatch) -> None:
