Open requests and results keep to the memory limit; what has no room is pushed back

Cause: nothing looked at the limit of memory. Each answer was encoded before its turn to be written, so that a client that does not read held up to 32 results twice; each connection kept an 8 KB buffer while it waited; the decision module's timers kept ended requests until their time limit, at any rate.

Why this works: open requests and small results count against what the limit leaves beside all connections and their lines; a request without room is pushed back at once with a Retry-After, and a quarter stays for connections with few open requests. Results of more than one page are fetched only when there is memory for them, two of a connection at a time; meanwhile their engine keeps them, and its connection and threads serve others (query_ended). Answers are encoded when they can be written, buffers taken when there is input, stale timers dropped. rig.idle() checks in every scenario that what was counted is given back.

--- a/pathturn/core/dispatcher.py
+++ b/pathturn/core/dispatcher.py
@@ -56,6 +56,8 @@
 CACHED_DATA_SET_CREDIT = 0.5
 TRIED_ENGINE_PENALTY = 100
 MAX_SKIPPED_BATCHES = 24  # per pool and round; bounds the work when the first batches fit no engine
+MAX_TIMERS_PER_BATCH = 4  # kept of open batches and ended ones together
+MAX_STALE_TIMERS = 256
 MIN_PRIORITY_2_VALUE = 0.2  # utility per work, relative to the best service group
 MIN_PRIORITY_1_VALUE = 0.05
 
@@ -545,6 +547,11 @@
         batch = self.batches.get(index)
         return batch is not None and batch.may_dispatch(now_us)
 
+    def default_retry_after_us(self, identity: int) -> int:
+        """Return when a client may retry a batch that is pushed back, 0 if settings forbid to say."""
+        share = MIN_RETRY_AFTER_SHARE + RETRY_AFTER_JITTER * self.pseudo_random(identity)
+        return int(self.max_retry_after_us * share)
+
     def key_queue_drain_us(self, group: names.ServiceGroup) -> int:
         """Return how long clients take to resend a full queue of one key, at the interval between resends."""
         return KEY_RESEND_INTERVAL_US * max_key_queue(group)
@@ -684,6 +691,7 @@
             queue = self.key_queues.queues.setdefault(key, deque())
             queue.append(batch)
             batch.expires_us = batch.expires_us if len(queue) <= max_key_queue(batch.group) else self.now
+        self._drop_stale_timers()
         for due in (
             min(batch.expires_us, int(batch.goal_deadline_us - MIN_RUNTIME_SHARE * batch.run_time_us) + 1),
             batch.expires_us,
@@ -694,6 +702,13 @@
         else:  # over the operator's limit: pushed back at once, as waiting would only delay other batches
             self._give_up(batch, retry_after_us)
 
+    def _drop_stale_timers(self) -> None:
+        """Drop the timers of ended batches once they are most of all timers: a batch's time limit may
+        be far off when it ends, and its timers keep it in memory."""
+        if len(self.timers) > MAX_TIMERS_PER_BATCH * len(self.batches) + MAX_STALE_TIMERS:
+            self.timers = [timer for timer in self.timers if not timer[2].ended]
+            heapq.heapify(self.timers)
+
     def batch_rerouted(self, index, destination) -> None:
         """Give a batch that was never dispatched another destination, as after the undo of a change."""
         if (batch := self.batches.get(index)) is not None and not batch.dispatch_count and not batch.ended:
@@ -714,10 +729,8 @@
         """Record the outcome of a dispatch, then remove the batch or decide about a retry."""
         batch = self.batches[index]
         engine = self.engines[engine_index]
+        self.query_ended(index, number, engine_index)
         dispatch = batch.in_flight.pop(number)
-        del engine.in_flight[index, number]
-        engine.threads_in_use -= batch.group.threads
-        self.fleet_threads[batch.is_small] -= batch.group.threads
         if batch.destination is not None:
             batch.destination.dispatch_done()
         self._record_report(engine, report)
@@ -733,6 +746,14 @@
         batch.ended = batch.ended or complete
         (self._remove if batch.ended else self._review)(batch)
 
+    def query_ended(self, index, number, engine_index) -> None:
+        """Free an engine's threads; without effect if they are free already."""
+        batch = self.batches[index]
+        engine = self.engines[engine_index]
+        if engine.in_flight.pop((index, number), None) is not None:
+            engine.threads_in_use -= batch.group.threads
+            self.fleet_threads[batch.is_small] -= batch.group.threads
+
     def engine_notice(self, index, engine_index, notice_kind, level, number) -> None:
         """Record a notice about a running dispatch; one that runs far too long is cancelled for a restart."""
         batch = self.batches[index]
@@ -923,10 +944,7 @@
     def _give_up(self, batch: Batch, retry_after_us: int = 0) -> None:
         """Push a batch back, or end it with an error if a retry could have a second effect."""
         if batch.may_push_back():
-            default_us = int(
-                self.max_retry_after_us
-                * (MIN_RETRY_AFTER_SHARE + RETRY_AFTER_JITTER * self.pseudo_random(batch.index))
-            )
+            default_us = self.default_retry_after_us(batch.index)
             self.writer.push_back(batch.index, min(retry_after_us, self.max_retry_after_us) or default_us)
         else:
             self.writer.error(batch.index)
--- a/pathturn/core/interface.py
+++ b/pathturn/core/interface.py
@@ -107,6 +107,7 @@
     batch_withdrawn(batch): the client no longer waits for it
     dispatch_finished(batch, dispatch, engine, outcome, latency_us, complete, work_us, memory_mb, report)
     engine_notice(batch, engine, kind, level, dispatch): an engine's notice about a running dispatch
+    query_ended(batch, dispatch, engine): the query of a dispatch has ended; its result waits to be fetched
     probe_finished(engine, succeeded, latency_us, report)
     timer_fired(tag): the wake-up that the writer was asked for
     shutdown(left_us): the process ends once nothing is in flight, after `left_us` at the latest
@@ -118,4 +119,5 @@
 
     def round(self, now_us: int, events: list[tuple], writer: Writer) -> None: ...
     def may_start(self, batch: int, now_us: int) -> bool: ...
+    def default_retry_after_us(self, identity: int) -> int: ...
     def key_queue_drain_us(self, group: ServiceGroup) -> int: ...
--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -4,6 +4,8 @@
 from itertools import count
 from typing import Any, Protocol
 
+from gevent.lock import Semaphore
+
 from pathturn.memory.engine_registry import Endpoint
 
 
@@ -23,6 +25,7 @@
     """
 
     order_identity: object
+    large_results: Semaphore
 
     def start_dispatch(self, dispatch: "Dispatch") -> None: ...
     def batch_ended(self, batch: "Batch", end: End) -> None: ...
@@ -42,6 +45,8 @@
         "statement",
         "deadline_us",
         "request_id",
+        "held_bytes",
+        "holds_large_result",
         "ended",
         "dispatch_count",
         "in_flight",
@@ -70,6 +75,8 @@
         self.statement = statement
         self.deadline_us = deadline_us
         self.request_id: Any = None  # the client's, set by the source
+        self.held_bytes = 0  # as counted by the memory budget
+        self.holds_large_result = False
         self.ended = False
         self.dispatch_count = 0
         self.priority = 1
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -13,11 +13,13 @@
 from typing import TYPE_CHECKING, Any
 
 from gevent.event import Event
+from gevent.lock import Semaphore
 
 from pathturn.core import interface as names
 from pathturn.memory.arrival_order import ArrivalOrder
 from pathturn.memory.batches import Batch, Dispatch, End, OpenBatches, Source
 from pathturn.memory.engine_registry import EngineRegistry
+from pathturn.memory.memory_budget import MAX_WAITING_RESULTS, MemoryBudget, request_bytes
 from pathturn.memory.overdue import OverdueBatches
 
 if TYPE_CHECKING:  # routing is imported at run time only if enabled: plain serve has no routes
@@ -28,6 +30,7 @@
 # A longer gap between heartbeats is a stall. By the protocol requests of one key are written at least this
 # far apart, so a shorter stall cannot change their order.
 STALL_THRESHOLD_US = 60_000
+DEFAULT_REQUEST_MEMORY_BYTES = 64 << 20
 
 
 def _response_goal_us(group: names.ServiceGroup, work_us: int) -> int:
@@ -44,6 +47,7 @@
         clock: Callable[[], int],
         answers_report_cost: bool,
         log: Callable[[str], None],
+        memory_budget: MemoryBudget | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.groups = groups
@@ -56,6 +60,9 @@
         self.overdue = OverdueBatches(self.batches.by_index)
         self.events: list[tuple] = []
         self.arrival_order = ArrivalOrder()
+        self.memory_budget = memory_budget or MemoryBudget(DEFAULT_REQUEST_MEMORY_BYTES)
+        self.large_results = Semaphore(self.memory_budget.max_large_results)
+        self.waiting_results = 0
         # By key: ended batches whose answer has not been written yet.
         self.unwritten_answers: Counter[str] = Counter()
         self.last_heartbeat_us = clock()
@@ -86,6 +93,14 @@
         """Return whether a batch with this ticket is open."""
         return ticket in self.batches.tickets
 
+    def has_memory_for(self, statement: bytes, open_requests: int) -> bool:
+        """Return whether there is memory for one more request of a connection with so many open ones."""
+        return self.memory_budget.admits(request_bytes(len(statement)), open_requests)
+
+    def retry_after_us(self) -> int:
+        """Return when a client may retry a request for which there is no memory."""
+        return self.dispatcher.default_retry_after_us(len(self.batches))
+
     def submit(
         self,
         source: Source | None,
@@ -110,6 +125,7 @@
         written_from_us = self._written_from_us(written_from_us)
         deadline_us = written_from_us + left_us
         batch = self.batches.open(source, ticket, group, nonce, key, statement, deadline_us)
+        self._hold_memory(batch, request_bytes(len(statement)))
         # The client gets an answer soon after the deadline even if a fault lost the batch's events.
         self.overdue.watch(batch, deadline_us + OVERDUE_US)
         if self.router is not None:
@@ -162,6 +178,7 @@
 
     def finish_answer(self, batch: Batch) -> None:
         """Note that a batch's answer has been written, or can't be."""
+        self._release_memory(batch)
         if batch.key is not None:
             self.unwritten_answers -= Counter((batch.key,))
 
@@ -173,9 +190,67 @@
         """Withdraw a batch whose client no longer waits for it."""
         if not batch.ended:
             self._add_event("batch_withdrawn", batch.index)
-            batch.end(End(None))
+            self._end_batch(batch, End(None))
             self.batches.remove_if_finished(batch)
 
+    def _end_batch(self, batch: Batch, end: End) -> None:
+        batch.end(end)
+        if end.outcome is None or batch.source is None:  # no answer follows
+            self._release_memory(batch)
+
+    def _hold_memory(self, batch: Batch, size: int) -> None:
+        batch.held_bytes += size
+        self.memory_budget.add(size)
+
+    def _release_memory(self, batch: Batch) -> None:
+        self.memory_budget.remove(batch.held_bytes)
+        batch.held_bytes = 0
+        if batch.holds_large_result:
+            batch.holds_large_result = False
+            self._release_large_result(batch)
+
+    def try_acquire_large_result(self, batch: Batch) -> bool:
+        """Return whether there is memory for a result of more than one page. If so, it is held until the
+        batch's answer is written."""
+        if batch.holds_large_result or batch.source is None:
+            return True
+        if not batch.source.large_results.acquire(blocking=False):
+            return False
+        if not self.large_results.acquire(blocking=False):
+            batch.source.large_results.release()
+            return False
+        self._hold_large_result(batch)
+        return True
+
+    def acquire_large_result(self, dispatch: Dispatch) -> None:
+        """Wait until there is memory for the result of a dispatch whose query has ended."""
+        if self.waiting_results < MAX_WAITING_RESULTS:
+            self._add_event("query_ended", dispatch.batch.index, dispatch.number, dispatch.engine)
+        self.waiting_results += 1
+        try:
+            self._acquire_large_result(dispatch.batch)
+        finally:
+            self.waiting_results -= 1
+
+    def _acquire_large_result(self, batch: Batch) -> None:
+        batch.source.large_results.acquire()
+        try:
+            self.large_results.acquire()
+        except BaseException:
+            batch.source.large_results.release()
+            raise
+        self._hold_large_result(batch)
+
+    def _hold_large_result(self, batch: Batch) -> None:
+        if batch.ended or batch.holds_large_result:  # meanwhile
+            self._release_large_result(batch)
+        else:
+            batch.holds_large_result = True
+
+    def _release_large_result(self, batch: Batch) -> None:
+        self.large_results.release()
+        batch.source.large_results.release()
+
     # Called for the operator.
     def use_router(
         self,
@@ -235,8 +310,9 @@
         """Record the outcome of a dispatch, exactly once for each; the first returned rows end the batch."""
         batch = dispatch.batch
         del batch.in_flight[dispatch.number]
-        if outcome == names.RETURNED:
-            batch.end(End(names.RETURNED, rows=rows))
+        if outcome == names.RETURNED and not batch.ended:
+            self._hold_memory(batch, len(rows))
+            self._end_batch(batch, End(names.RETURNED, rows=rows))
         cost_known = outcome == names.RETURNED and self.answers_report_cost
         self._add_event(
             "dispatch_finished",
@@ -331,7 +407,7 @@
         for batch in self.overdue.after_round():
             self.log_line(f"batch {batch.ticket} overdue")
             self._add_event("batch_withdrawn", batch.index)
-            batch.end(End(names.ERRORED))
+            self._end_batch(batch, End(names.ERRORED))
             self.batches.remove_if_finished(batch)
         self.overdue.collect(now)
         if self.overdue:
@@ -373,7 +449,7 @@
 
     def _end(self, batch: int, end: End) -> None:
         if (open_batch := self.batches.by_index.get(batch)) is not None:
-            open_batch.end(end)
+            self._end_batch(open_batch, end)
             self.batches.remove_if_finished(open_batch)
 
     def schedule_wakeup(self, delay_us: int, tag: int) -> None:
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -15,8 +15,14 @@
 from pathturn.memory.client_connections import ClientConnections
 from pathturn.memory.connection_pool import ConnectionPool
 from pathturn.memory.facade import STALL_THRESHOLD_US, Facade
+from pathturn.memory.memory_budget import MemoryBudget
 from pathturn.process.clock import unix_clock
-from pathturn.process.limits import MAX_HALF_CLOSED, connection_limits, max_line_bytes
+from pathturn.process.limits import (
+    MAX_HALF_CLOSED,
+    connection_limits,
+    max_line_bytes,
+    request_memory_bytes,
+)
 from pathturn.process.log import Log
 from pathturn.process.settings import DEFAULT_ROUND_INTERVAL_US, build_dispatcher
 from pathturn.wire import discovery_protocol
@@ -60,6 +66,8 @@
         self.log = Log(config["name"], installation.log if installation else "plain")
         limits = settings.get("limits") or {}
         dispatcher, groups = build_dispatcher(int(config["seed"], 16), settings)
+        client_limit, engine_limit = connection_limits(config["limits"]["sockets"])
+        memory_mb = config["limits"]["memory_mb"]
         self.round_interval_s = (settings.get("stepUs") or DEFAULT_ROUND_INTERVAL_US) / 1e6
         self.facade = Facade(
             dispatcher,
@@ -67,9 +75,9 @@
             self.clock,
             bool((settings.get("domain") or {}).get("costInAnswers")),
             self.log,
+            MemoryBudget(request_memory_bytes(memory_mb, client_limit, engine_limit)),
         )
-        client_limit, engine_limit = connection_limits(config["limits"]["sockets"])
-        self.max_line_bytes = max_line_bytes(config["limits"]["memory_mb"], client_limit)
+        self.max_line_bytes = max_line_bytes(memory_mb, client_limit)
         self.buffers = BufferPool()
         self.client_connections = ClientConnections(client_limit, MAX_HALF_CLOSED, self.clock)
         self.connection_pool = ConnectionPool(
--- a/pathturn/wire/client_connection.py
+++ b/pathturn/wire/client_connection.py
@@ -7,13 +7,14 @@
 
 import gevent
 from gevent import socket
-from gevent.lock import RLock
+from gevent.lock import RLock, Semaphore
 from gevent.pool import Group
 
 from pathturn.core import interface as names
 from pathturn.memory.batches import Batch, Dispatch, End
 from pathturn.memory.buffers import BUFFER_BYTES, BufferPool
 from pathturn.memory.facade import Facade
+from pathturn.memory.memory_budget import MAX_LARGE_RESULTS_PER_CONNECTION
 from pathturn.wire import jsonrpc
 from pathturn.wire.engine_connection import nothing_to_read, peer_closed
 from pathturn.wire.reader import SocketReader
@@ -83,6 +84,7 @@
         # No byte of the input being processed was written before this time.
         self.written_from_us = 0
         self.write_lock = RLock()
+        self.large_results = Semaphore(MAX_LARGE_RESULTS_PER_CONNECTION)
         self.open_batches: dict[int, Batch] = {}
         self.answer_greenlets = Group()
         self.batches_received = 0
@@ -210,22 +212,30 @@
     def _read_until_closed(self) -> str:
         """Process input until the client closes the connection; return the reason code."""
         while True:
-            if self.lines.read_ahead:
-                piece = self.lines.read_ahead.pop()
-                self.written_from_us = piece.written_from_us
-                self._process(memoryview(piece.data))
-            else:
-                with self.buffers.borrowed() as buffer:
-                    if not (size := self.reader.receive_into(buffer)):
-                        return self.code or "client_closed"
-                    self.written_from_us = self.reader.written_from_us
-                    self._process(buffer[:size])
+            if not self.lines.read_ahead:
+                # Without a buffer, as most connections wait at any time.
+                self.reader.wait_for_input()
+            if not self._process_next_piece():
+                return self.code or "client_closed"
             # Also when the rate limit asks for no pause: a socket that always has input would starve the
             # others.
             gevent.sleep(0)
             if not self._pause():
                 return self.code or "client_closed"
 
+    def _process_next_piece(self) -> bool:
+        """Process input read ahead, or what is in the socket; return False if the client has closed."""
+        if self.lines.read_ahead and not self.reader.cancelled:
+            piece = self.lines.read_ahead.pop()
+            self.written_from_us = piece.written_from_us
+            self._process(memoryview(piece.data))
+            return True
+        with self.buffers.borrowed() as buffer:
+            size = self.reader.receive_into(buffer)
+            self.written_from_us = self.reader.written_from_us
+            self._process(buffer[:size])
+        return size > 0
+
     def _process(self, piece: memoryview) -> None:
         """Handle the lines that a piece of input completes, and charge them to the rate limit."""
         if self.discarding_input:
@@ -267,10 +277,12 @@
                     return False
                 gevent.sleep(min(left_us, CLOSE_POLL_US) / 1e6)
                 continue
-            with gevent.Timeout(left_us / 1e6, False), self.buffers.borrowed() as buffer:
-                if not (size := self.reader.receive_into(buffer[:room])):
-                    return False
-                self.lines.read_ahead.append(buffer[:size], self.reader.written_from_us)
+            with gevent.Timeout(left_us / 1e6, False):
+                self.reader.wait_for_input()
+                with self.buffers.borrowed() as buffer:
+                    if not (size := self.reader.receive_into(buffer[:room])):
+                        return False
+                    self.lines.read_ahead.append(buffer[:size], self.reader.written_from_us)
                 gevent.sleep(0)
         return True
 
@@ -340,6 +352,11 @@
         self.rejections += 1
         self._queue_reply(jsonrpc.errored(request_id, error_code))
 
+    def _push_back(self, request_id: int) -> None:
+        """Refuse a request for which there is no memory, and count it for the rate limit."""
+        self.rejections += 1
+        self._queue_reply(jsonrpc.pushed_back(request_id, self.facade.retry_after_us()))
+
     def abort(self, request_id: Any) -> None:
         """Withdraw a batch. Its place among the open ones is free at once: by the protocol the client may use
         it for a request in the same write."""
@@ -371,6 +388,9 @@
             # Engines identify a query by its ticket alone: each of the two could get the other's rows.
             self.reject(request_id, jsonrpc.INVALID_REQUEST)
             return
+        if not self.facade.has_memory_for(statement, len(self.open_batches)):
+            self._push_back(request_id)
+            return
         if key is not None and self.facade.group(group).ordered_by_key:
             left_us = min(left_us, max(MIN_TIME_LEFT_US, left_us - self.facade.key_queue_drain_us(group)))
         batch = self.facade.submit(
@@ -402,20 +422,25 @@
         if self.open_batches.get(batch.request_id) is batch:
             del self.open_batches[batch.request_id]
         self.last_active_us = self.facade.clock()
-        if end.outcome is not None:
-            self.facade.begin_answer(batch)
-            self.answer_greenlets.spawn(self._answer, batch, end)
+        if end.outcome is None:
+            return
+        self.facade.begin_answer(batch)
+        self.answer_greenlets.spawn(self._answer, batch, end)
 
     def _answer(self, batch: Batch, end: End) -> None:
         try:
-            self._write_answer(batch.request_id, end)
+            # Encoded only when it can be written: a client that does not read may have many results waiting.
+            with self.write_lock:
+                self._write(
+                    jsonrpc.returned(batch.request_id, end.rows)
+                    if end.outcome == names.RETURNED
+                    else self._encode_short_answer(batch, end)
+                )
         finally:
             self.facade.finish_answer(batch)
 
-    def _write_answer(self, request_id: Any, end: End) -> None:
-        if end.outcome == names.RETURNED:
-            self._write(jsonrpc.returned(request_id, end.rows))
-        elif end.outcome == names.ERRORED:
-            self._write(jsonrpc.errored(request_id))
-        else:
-            self._write(jsonrpc.pushed_back(request_id, end.retry_us))
+    @staticmethod
+    def _encode_short_answer(batch: Batch, end: End) -> bytes:
+        if end.outcome == names.ERRORED:
+            return jsonrpc.errored(batch.request_id)
+        return jsonrpc.pushed_back(batch.request_id, end.retry_us)
--- a/pathturn/wire/dispatch_executor.py
+++ b/pathturn/wire/dispatch_executor.py
@@ -16,6 +16,7 @@
     DispatchTimeoutError,
     RequestNotSentError,
 )
+from pathturn.wire.engine_protocol import Response
 from pathturn.wire.exchange import Exchange
 from pathturn.wire.termination import SETTLE_US, CancelReply, TerminationProof
 
@@ -184,6 +185,8 @@
                 self.facade.report_notice(dispatch, *notice)
             pages, (status, fields, body) = exchange.poll()
         ended_us = self.clock()
+        if pages > 1 and not self.facade.try_acquire_large_result(batch):
+            pages, (status, fields, body) = self._wait_for_result_memory(exchange)
         outcome = engine_protocol.outcome(status, fields)
         rows = None
         if outcome == names.RETURNED:
@@ -192,6 +195,13 @@
         exchange.release_connection()
         self._report(exchange, outcome, ended_us, fields, rows or b"")
 
+    def _wait_for_result_memory(self, exchange: Exchange) -> tuple[int, Response]:
+        """Wait until there is memory for the result of a query that has ended; return its first page again.
+        Meanwhile the engine keeps the result, and the connection is free for others."""
+        exchange.release_connection()
+        self.facade.acquire_large_result(exchange.dispatch)
+        return exchange.poll()
+
     def _fetch_rows(self, exchange: Exchange, pages: int, first_page: bytes) -> bytes | None:
         """Return the complete result, or None if the engine has lost a page or the result is too large."""
         rows = exchange.fetch_rows(pages, first_page)
--- a/pathturn/wire/engine_connection.py
+++ b/pathturn/wire/engine_connection.py
@@ -14,6 +14,7 @@
 from pathturn.wire import engine_protocol
 from pathturn.wire.engine_protocol import OK, SERVER_ERROR, Response, ResultFingerprint
 from pathturn.wire.http import MAX_BODY_BYTES, MalformedResponseError, ResponseParser
+from pathturn.wire.reader import nothing_to_read
 
 # SO_LINGER with a timeout of zero: closing resets the connection and discards unsent data.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -74,21 +75,6 @@
     return False
 
 
-def nothing_to_read(connection: socket.socket) -> bool:
-    """Return whether the socket has neither unread data nor EOF. Waiting readers are not woken."""
-    timeout_s = connection.gettimeout()
-    connection.settimeout(0)
-    try:
-        connection.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    finally:
-        connection.settimeout(timeout_s)
-    return False
-
-
 def has_unread_data(connection: socket.socket) -> bool:
     """Return whether the socket has unread data; EOF is none."""
     timeout_s = connection.gettimeout()
--- a/pathturn/wire/reader.py
+++ b/pathturn/wire/reader.py
@@ -11,6 +11,21 @@
 REFILL_S = 0.002
 
 
+def nothing_to_read(connection: socket.socket) -> bool:
+    """Return whether the socket has neither unread data nor EOF. Waiting readers are not woken."""
+    timeout_s = connection.gettimeout()
+    connection.settimeout(0)
+    try:
+        connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    finally:
+        connection.settimeout(timeout_s)
+    return False
+
+
 class ReadCancelledError(ConnectionError):
     """The reader was cancelled, as the connection is being closed from this side."""
 
@@ -45,7 +60,7 @@
             try:
                 size = self._receive_now(buffer)
             except BlockingIOError:
-                self._wait_for_input()
+                self._wait_while_empty()
             else:
                 self._note_received(size == len(buffer))
                 return size
@@ -59,7 +74,17 @@
         if not self.backlogged:
             self.all_read_at_us = self.clock()
 
-    def _wait_for_input(self) -> None:
+    def wait_for_input(self) -> None:
+        """Wait until there is something to receive, be it the end of the connection or its failure. Raise
+        ReadCancelledError after `cancel`."""
+        while True:
+            if self.cancelled:
+                raise ReadCancelledError
+            if not nothing_to_read(self.socket):
+                return
+            self._wait_while_empty()
+
+    def _wait_while_empty(self) -> None:
         """Wait while the socket is empty. If the peer may have more written than the socket's buffer took,
         that has arrived once the socket is still empty after `REFILL_S`."""
         if self.backlogged and not self.refill_checked:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -430,6 +430,14 @@
         fields = next(each[2] for each in reversed(self.engines[name].requests) if each[0] == "POST")
         assert fields.get(field, "-") == value, f"{field} was {fields.get(field)}"
 
+    def holds_no_memory(self):
+        """No memory is counted for requests or results once all of them are answered."""
+        facade, deadline = self.gateway.facade, monotonic() + 2
+        while facade.memory_budget.used_bytes and monotonic() < deadline:
+            gevent.sleep(0.01)
+        assert not facade.memory_budget.used_bytes, "memory is counted for requests that are not there"
+        assert facade.large_results.counter == facade.memory_budget.max_large_results
+
     def idle(self):
         """Nothing is open, and no connection is counted that is not there."""
         connection_pool, deadline = self.gateway.connection_pool, monotonic() + 2
@@ -442,6 +450,7 @@
                 break
             gevent.sleep(0.01)
         assert not len(self.gateway.facade.batches), "a batch is still open"
+        self.holds_no_memory()
         assert held == kept, f"{held} connections counted, {kept} there"
 
 
