Clients with little input are served beside hundreds that write at full speed

Causes: in each iteration of the event loop every connection with input had a piece of 8 KB processed, up to 100 ms for all, and rounds, engines' responses and answers waited meanwhile. And when thousands of requests reached their time together, one round decided all of them and a greenlet each wrote their answers: 1.7 s at worst.

Why this works: connections take turns by start-time fair queueing, 5 ms at most before all else is served, so one that used little comes before those that used much; with time for all nobody waits. A refused or failed request is answered together with the others of its connection, without a greenlet. 50 us of a request's time are kept for each other open one, which spreads the end of thousands over the time that answering them takes.

--- a/pathturn/core/dispatcher.py
+++ b/pathturn/core/dispatcher.py
@@ -17,6 +17,8 @@
 CONTROL_PERIOD_US = 1_000_000  # between updates of engine shares and between decreases of a limit
 LOAD_SMOOTHING_US = 3_000_000  # time constant of the moving average of an engine's load
 POLL_INTERVAL_US = 25_000  # between rounds while batches are ready
+# Kept of a batch's time for each other open one, as all of them may have to be answered at once.
+ANSWER_TIME_US = 50
 IN_FLIGHT_POLL_FACTOR = 4  # longer interval while dispatches are in flight but no batch is ready
 
 # Latency model of a service group.
@@ -680,6 +682,7 @@
                 model.samples + 5, MAX_WORK_SAMPLES
             )
         batch = self.batches[index] = Batch(index, model, self.now, left_us, work_us, memory_mb)
+        batch.expires_us -= ANSWER_TIME_US * (len(self.batches) - 1)
         batch.data_set = data_set
         batch.is_small = batch.work_us < SMALL_BATCH_RATIO * min(
             other.typical_work_us for other in self.models
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -31,6 +31,7 @@
 from pathturn.wire.dispatch_executor import DispatchExecutor
 from pathturn.wire.engine_connection import EngineConnection
 from pathturn.wire.listener import ClientListener
+from pathturn.wire.processing_turns import ProcessingTurns
 
 if TYPE_CHECKING:
     from pathturn.config.installation import Installation
@@ -79,6 +80,7 @@
         )
         self.max_line_bytes = max_line_bytes(memory_mb, client_limit)
         self.buffers = BufferPool()
+        self.processing_turns = ProcessingTurns(self.clock)
         self.client_connections = ClientConnections(client_limit, MAX_HALF_CLOSED, self.clock)
         self.connection_pool = ConnectionPool(
             engine_limit,
@@ -187,6 +189,7 @@
             self.buffers,
             lambda: not self.stop_requested.is_set(),
             self.max_line_bytes,
+            self.processing_turns,
         )
         if self.client_connections.admit(connection):
             return connection
--- a/pathturn/wire/client_connection.py
+++ b/pathturn/wire/client_connection.py
@@ -17,6 +17,7 @@
 from pathturn.memory.memory_budget import MAX_LARGE_RESULTS_PER_CONNECTION
 from pathturn.wire import jsonrpc
 from pathturn.wire.engine_connection import nothing_to_read, peer_closed
+from pathturn.wire.processing_turns import ProcessingTurns, TurnAccount
 from pathturn.wire.reader import SocketReader
 from pathturn.wire.statement import data_set
 
@@ -72,6 +73,7 @@
         buffers: BufferPool,
         is_ready: Callable[[], bool],
         max_line_bytes: int,
+        turns: ProcessingTurns | None = None,
     ) -> None:
         self.socket = sock
         self.facade = facade
@@ -89,6 +91,8 @@
         self.answer_greenlets = Group()
         self.batches_received = 0
         self.lines = jsonrpc.LineSplitter(max_line_bytes)
+        self.turns = turns or ProcessingTurns(facade.clock)
+        self.turn_account = TurnAccount()
         # The reason code for the end of the connection, as it is logged.
         self.code = ""
         self.last_request_id = 0
@@ -215,8 +219,9 @@
             if not self.lines.read_ahead:
                 # Without a buffer, as most connections wait at any time.
                 self.reader.wait_for_input()
-            if not self._process_next_piece():
-                return self.code or "client_closed"
+            with self.turns.turn(self.turn_account):
+                if not self._process_next_piece():
+                    return self.code or "client_closed"
             # Also when the rate limit asks for no pause: a socket that always has input would starve the
             # others.
             gevent.sleep(0)
@@ -425,7 +430,11 @@
         if end.outcome is None:
             return
         self.facade.begin_answer(batch)
-        self.answer_greenlets.spawn(self._answer, batch, end)
+        if end.outcome == names.RETURNED or batch.key is not None:
+            self.answer_greenlets.spawn(self._answer, batch, end)
+        else:  # short answers are written together, as hundreds of batches may end at once
+            self._queue_reply(self._encode_short_answer(batch, end))
+            self.facade.finish_answer(batch)
 
     def _answer(self, batch: Batch, end: End) -> None:
         try:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -23,6 +23,7 @@
 )
 from pathturn.process.limits import connection_limits, request_memory_bytes
 from pathturn.wire.client_connection import MAX_OPEN_BATCHES
+from pathturn.wire.processing_turns import SLICE_US, ProcessingTurns, TurnAccount
 
 PUSHED_BACK = -32066
 # By the protocol an answer up to half a second after its time earns nothing, and a later one is lost.
@@ -159,6 +160,24 @@
     assert memory_mb <= 64 or left > (memory_mb << 20) / 2
 
 
+def test_the_connection_that_used_least_time_gets_the_next_turn() -> None:
+    now_us = [0]
+    turns = ProcessingTurns(lambda: now_us[0])
+    heavy, light = TurnAccount(), TurnAccount()
+    order: list[str] = []
+
+    def process(name: str, account: TurnAccount) -> None:
+        with turns.turn(account):
+            order.append(name)
+            now_us[0] += SLICE_US
+
+    process("heavy", heavy)  # uses up the slice, so all others wait
+    waiting = [("heavy", heavy)] * 3 + [("light", light)]
+    gevent.joinall([gevent.spawn(process, *each) for each in waiting], timeout=2)
+    assert order == ["heavy", "light", "heavy", "heavy", "heavy"]
+    assert not turns.waiting
+
+
 def test_timers_of_ended_batches_are_dropped_long_before_their_time_limit() -> None:
     """Guards against records of ended batches that stay until their time limit, at any rate of requests."""
     stage = Stage()
