Nothing begins for a client whose close lies behind input that is not read yet

Cause: before its first byte a dispatch lets the reader process what lies in the socket, for three iterations of the event loop. With more than that unread it began all the same.

Why this works: after these iterations the socket is asked whether the peer has closed, which the system tells whatever is unread before that; then all open requests of the connection are withdrawn, as when the reader reads the end.

--- a/pathturn/wire/client_connection.py
+++ b/pathturn/wire/client_connection.py
@@ -128,8 +128,7 @@
         except OSError as error:
             return self.code or f"lost_{type(error).__name__}"
         finally:
-            for batch in list(self.open_batches.values()):
-                self.facade.withdraw(batch)
+            self._withdraw_all()
             self._close_socket()
 
     def close(self, code: str) -> None:
@@ -207,11 +206,19 @@
     def read_pending_input(self) -> None:
         """Let the reader process the input that lies in the socket. This is called before a dispatch of one
         of the client's batches begins, as a close or an abort may have arrived before: after a stall of this
-        process the event loop may look at a new connection to an engine first."""
+        process the event loop may look at a new connection to an engine first. The reader may take longer for
+        all of it, so the client's close is looked for behind what is unread."""
         for _ in range(READER_ITERATIONS):
             if nothing_to_read(self.socket):
                 return
             gevent.sleep(0)
+        if peer_closed(self.socket):
+            self._withdraw_all()
+
+    def _withdraw_all(self) -> None:
+        """Withdraw all open batches: the client does not wait for them any more."""
+        for batch in list(self.open_batches.values()):
+            self.facade.withdraw(batch)
 
     def _read_until_closed(self) -> str:
         """Process input until the client closes the connection; return the reason code."""
