An id that may have run does not run again when it comes on another connection

A once-only request ran twice 50 and 300 ms later. A nonce whose repeat only engines of one zone drop took effect in a second zone.

Cause: the ticket was free as soon as the first batch had its outcome, which does not wait for the proof that its query is over; nothing was remembered of once-only requests and nonces that may have run.

Such a request gets an error at once: a refusal would say that trying again is harmless. By the protocol a client's next try has a new trace, and a nonce of that kind comes again only after a refusal, so sound clients meet none of this.

--- a/pathturn/memory/batches.py
+++ b/pathturn/memory/batches.py
@@ -1,5 +1,6 @@
 """Open batches and their dispatches in flight."""
 
+from collections import Counter
 from collections.abc import Callable
 from itertools import count
 from typing import Any, Protocol
@@ -137,12 +138,13 @@
 
 
 class OpenBatches:
-    """All open batches, by index and by ticket."""
+    """All open batches, by index, by ticket and by nonce."""
 
     def __init__(self) -> None:
         self.indices = count()
         self.by_index = {}
         self.tickets = set()
+        self.nonces: Counter[str] = Counter()
 
     def open(
         self,
@@ -158,12 +160,16 @@
         batch = Batch(next(self.indices), source, ticket, group, nonce, key, statement, deadline_us)
         self.by_index[batch.index] = batch
         self.tickets.add(ticket)
+        if nonce is not None:
+            self.nonces[nonce] += 1
         return batch
 
     def remove_if_finished(self, batch: Batch) -> None:
         """Remove a batch once it has ended and each of its dispatches has its outcome."""
         if batch.ended and not batch.in_flight and self.by_index.pop(batch.index, None) is not None:
             self.tickets.discard(batch.ticket)
+            if batch.nonce is not None:
+                self.nonces -= Counter((batch.nonce,))
 
     def __len__(self) -> int:
         return len(self.by_index)
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -21,6 +21,7 @@
 from pathturn.memory.engine_registry import EngineRegistry
 from pathturn.memory.memory_budget import MAX_WAITING_RESULTS, MemoryBudget, request_bytes
 from pathturn.memory.overdue import OverdueBatches
+from pathturn.memory.recent_ids import RecentIds
 
 if TYPE_CHECKING:  # routing is imported at run time only if enabled: plain serve has no routes
     from pathturn.routing.router import BatchAttributes, Router
@@ -31,6 +32,13 @@
 # far apart, so a shorter stall cannot change their order.
 STALL_THRESHOLD_US = 60_000
 DEFAULT_REQUEST_MEMORY_BYTES = 64 << 20
+# Longer than a client tries again after its connection ended.
+ONCE_ONLY_MEMORY_US = 30_000_000
+
+
+def _is_dropped_by_some(group: names.ServiceGroup) -> bool:
+    """Return whether only some of the engines drop the repeat of a batch."""
+    return group.kind == names.REFERENCED and group.dedup_scope != "all"
 
 
 def _response_goal_us(group: names.ServiceGroup, work_us: int) -> int:
@@ -60,6 +68,8 @@
         self.overdue = OverdueBatches(self.batches.by_index)
         self.events: list[tuple] = []
         self.arrival_order = ArrivalOrder()
+        self.tickets_that_ran = RecentIds()
+        self.nonces_that_ran = RecentIds()
         self.memory_budget = memory_budget or MemoryBudget(DEFAULT_REQUEST_MEMORY_BYTES)
         self.large_results = Semaphore(self.memory_budget.max_large_results)
         self.waiting_results = 0
@@ -89,9 +99,32 @@
         """Return how long a batch of an ordered group may have waited at its client for others of its key."""
         return self.dispatcher.key_queue_drain_us(self.groups[name])
 
-    def is_open(self, ticket: str) -> bool:
-        """Return whether a batch with this ticket is open."""
-        return ticket in self.batches.tickets
+    def may_run(self, ticket: str, group: str, nonce: str | None) -> bool:
+        """Return whether a batch may run under this ticket and nonce.
+
+        Engines know a query by its ticket, so not while another may be running under it. A once-only batch
+        must not run again, nor a nonce where only some engines drop its repeat.
+        """
+        now_us = self.clock()
+        if ticket in self.batches.tickets or self.tickets_that_ran.contains(ticket, now_us):
+            return False
+        if nonce is None or not _is_dropped_by_some(self.groups[group]):
+            return True
+        return nonce not in self.batches.nonces and not self.nonces_that_ran.contains(nonce, now_us)
+
+    def keep_ticket(self, dispatch: Dispatch, until_us: int) -> None:
+        """Keep the ticket of a dispatch from use, as its query may be running until then."""
+        self.tickets_that_ran.add(dispatch.batch.ticket, until_us, self.clock())
+
+    def _note_run(self, dispatch: Dispatch) -> None:
+        """Note that the query of a dispatch may have run."""
+        now_us = self.clock()
+        group = self.groups[dispatch.batch.group]
+        if group.kind == names.ONCE_ONLY:
+            self.tickets_that_ran.add(dispatch.batch.ticket, now_us + ONCE_ONLY_MEMORY_US, now_us)
+        elif _is_dropped_by_some(group) and dispatch.batch.nonce is not None:
+            until_us = dispatch.sent_us + group.dedup_window_us
+            self.nonces_that_ran.add(dispatch.batch.nonce, until_us, now_us)
 
     def has_memory_for(self, statement: bytes, open_requests: int) -> bool:
         """Return whether there is memory for one more request of a connection with so many open ones."""
@@ -309,6 +342,8 @@
     ) -> None:
         """Record the outcome of a dispatch, exactly once for each; the first returned rows end the batch."""
         batch = dispatch.batch
+        if outcome not in names.NEVER_RAN:
+            self._note_run(dispatch)
         del batch.in_flight[dispatch.number]
         if outcome == names.RETURNED and not batch.ended:
             self._hold_memory(batch, len(rows))
--- a/pathturn/standins/engines.py
+++ b/pathturn/standins/engines.py
@@ -103,7 +103,10 @@
         # By ticket: service group, start time and end time, from which tests check that batches of one
         # ordering key do not overlap. The end time of a running query is that of its expiry.
         self.executions: dict[str, list] = {}
+        # Ticket, start time and end time of every run, also of tickets that run more than once.
+        self.runs: deque[list] = deque(maxlen=MAX_RECORDED_REQUESTS)
         self.deletes_to_reset = 0
+        self.delete_delay_s = 0.0  # before a cancel request takes effect
         self.server = StreamServer(("127.0.0.1", 0), self.serve)
         self.server.start()
 
@@ -123,6 +126,7 @@
                     behaviour = f"runs:{RUNNING_QUERY_MS}"
                 self.executions[ticket] = [headers["x-queue"], monotonic(), monotonic() + QUERY_EXPIRY_S]
                 self.start_times.append(monotonic())
+                self.runs.append([ticket, monotonic(), monotonic() + QUERY_EXPIRY_S])
                 if headers.get("x-nonce") and behaviour.partition(":")[0] in EXECUTING_BEHAVIOURS:
                     self.execution_starts.append((monotonic(), headers["x-nonce"]))
                 self.queries[ticket] = (behaviour, monotonic())
@@ -140,6 +144,7 @@
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
                 connection.close()
             elif self.queries.get(path.split("/")[2], ("",))[0] != "mute":
+                gevent.sleep(self.delete_delay_s)
                 self.queries.pop(path.split("/")[2], None)
                 self.mark_ended(path.split("/")[2])
                 self.respond(connection, 204)
@@ -149,6 +154,10 @@
         return self.behaviours.pop(0) if len(self.behaviours) > 1 else self.behaviours[0]
 
     def mark_ended(self, ticket: str) -> None:
+        for run in reversed(self.runs):
+            if run[0] == ticket:
+                run[2] = min(run[2], monotonic())
+                break
         if ticket in self.executions:
             self.executions[ticket][2] = min(self.executions[ticket][2], monotonic())
 
--- a/pathturn/wire/client_connection.py
+++ b/pathturn/wire/client_connection.py
@@ -396,8 +396,7 @@
         if len(self.open_batches) >= MAX_OPEN_BATCHES:
             self.reject(request_id, jsonrpc.TOO_MANY_OPEN)
             return
-        if self.facade.is_open(ticket):
-            # Engines identify a query by its ticket alone: each of the two could get the other's rows.
+        if not self.facade.may_run(ticket, group, nonce):
             self.reject(request_id, jsonrpc.INVALID_REQUEST)
             return
         if not self.facade.has_memory_for(statement, len(self.open_batches)):
--- a/pathturn/wire/dispatch_executor.py
+++ b/pathturn/wire/dispatch_executor.py
@@ -99,6 +99,8 @@
         present one could be killed meanwhile and would not report the outcome."""
         dispatch = exchange.dispatch
         dispatch.on_cancel = dispatch.on_priority_change = None
+        if exchange.started:
+            self.facade.keep_ticket(dispatch, exchange.query_expiry_us)
         if not exchange.started:
             exchange.close_connection(exchange.close_code)
             self._report(exchange, names.UNSENT)
