Nothing of an engine's queries is sent to another process at its address

Cause: after a lost response the query is asked for on a new connection to the same address, and an interrupted one is cancelled there; nothing asked what the list has at that address by now, nor what the loss of all connections says.

Why this works: nothing is opened to an engine whose address the list gives to another one. If a response that is owed and all other connections, one at least, are lost at once, the process has ended: it is taken out of use until the list can have told, repeatable requests go elsewhere, others ask again and cancel once the list has told. It counts neither as cold nor as proof that a query is over, as the network resets connections too.

--- a/pathturn/core/dispatcher.py
+++ b/pathturn/core/dispatcher.py
@@ -86,6 +86,7 @@
 EJECTION_MIN_ERRORS = 2
 EJECTION_ERROR_SHARE = 0.2
 EJECTION_JITTER = 0.3
+LIST_UPDATE_US = 1_750_000  # by then a list tells what has changed: 1.5 s by the protocol, and the next query
 NOTICE_TIMEOUT_FACTOR = 1.6  # of the interval between notices
 NOTICE_TIMEOUT_SLACK_US = 300_000
 SILENCE_RUNTIME_FACTOR = 4  # of the expected run time, where engines send no notices
@@ -782,6 +783,13 @@
             batch.restarts += 1
             self.writer.cancel(batch.index, number)
 
+    def engine_process_ended(self, engine_index) -> None:
+        """Take an engine out of use until the list has told what is at its address: that may be an engine
+        of another zone or machine. It isn't taken for cold: the network may have reset its connections."""
+        engine = self.engines.get(engine_index)
+        if engine is not None:
+            self._eject(engine, LIST_UPDATE_US)
+
     def probe_finished(self, engine_index, succeeded, latency_us, report) -> None:
         self._record_report(self.engines.get(engine_index), report if succeeded else None)
 
@@ -847,13 +855,13 @@
             # that connection was late.
             self._eject(engine)
 
-    def _eject(self, engine: Engine) -> None:
-        """Take an engine out of use for about one control period (outlier ejection)."""
+    def _eject(self, engine: Engine, duration_us: int = CONTROL_PERIOD_US) -> None:
+        """Take an engine out of use for about that long (outlier ejection)."""
         ejected = [other.ejected_until_us > self.now for other in self._ready_engines()]
         if engine.ejected_until_us > self.now or 2 * sum(ejected) + 2 > len(ejected):
             return  # if most engines look faulty, the fault is probably on this gateway's side
         engine.ejected_until_us = self.now + int(
-            CONTROL_PERIOD_US * (1 + EJECTION_JITTER * self.pseudo_random(engine.index))
+            duration_us * (1 + EJECTION_JITTER * self.pseudo_random(engine.index))
         )
 
     def _eject_if_silent(self, engine: Engine) -> None:
--- a/pathturn/core/interface.py
+++ b/pathturn/core/interface.py
@@ -108,6 +108,7 @@
     dispatch_finished(batch, dispatch, engine, outcome, latency_us, complete, work_us, memory_mb, report)
     engine_notice(batch, engine, kind, level, dispatch): an engine's notice about a running dispatch
     query_ended(batch, dispatch, engine): the query of a dispatch has ended; its result waits to be fetched
+    engine_process_ended(engine): all connections to it were lost at once; the list may not tell of it yet
     probe_finished(engine, succeeded, latency_us, report)
     timer_fired(tag): the wake-up that the writer was asked for
     shutdown(left_us): the process ends once nothing is in flight, after `left_us` at the latest
--- a/pathturn/memory/connection_pool.py
+++ b/pathturn/memory/connection_pool.py
@@ -8,8 +8,14 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-from pathturn.memory.engine_registry import Endpoint
-from pathturn.wire.engine_connection import ConnectTimeoutError, EngineConnection
+from pathturn.memory.engine_registry import Endpoint, EngineRegistry
+from pathturn.wire.engine_connection import (
+    ConnectTimeoutError,
+    EngineConnection,
+    RequestNotSentError,
+    peer_closed,
+)
+from pathturn.wire.engine_processes import EngineProcesses
 from pathturn.wire.result_verification import ResultVerification
 
 # Idle connections are closed after half the engines' own idle timeout, so that no request is sent on a
@@ -31,7 +37,9 @@
         clock: Callable[[], int],
         connect: Callable[[Endpoint, float], EngineConnection],
         log: Callable[[str], None],
+        engine_processes: EngineProcesses | None = None,
     ) -> None:
+        self.engine_processes = engine_processes or EngineProcesses(clock, EngineRegistry())
         self.slots = BoundedSemaphore(cap)
         self.clock, self.connect, self.log = clock, connect, log
         self.idle_timeout_us = engine_idle_timeout_us // IDLE_TIMEOUT_DIVISOR
@@ -58,9 +66,13 @@
             if connection.is_usable():
                 return connection
             self.discard(connection, "engine_closed")
+        if self.engine_processes.registry.is_replaced(endpoint):
+            raise RequestNotSentError("engine_replaced")
         self._acquire_slot()
         try:
-            return self.connect(endpoint, self.connect_timeout_s)
+            connection = self.connect(endpoint, self.connect_timeout_s)
+            self.engine_processes.connected(connection)
+            return connection
         except ConnectTimeoutError as timeout:
             self._await_pending_connection(timeout.connection)
             raise
@@ -88,6 +100,7 @@
     def _finish_pending_connection(self, connection: EngineConnection, waiter: gevent.Greenlet) -> None:
         del self.pending_connections[connection.endpoint]
         if waiter.value is True:
+            self.engine_processes.connected(connection)
             self.release(connection)
         else:
             self.discard(connection, "connect_timeout")
@@ -104,11 +117,20 @@
         """Close the connections whose idle timeout has expired, and some of those that were opened for
         verifications and are not needed any more."""
         now_us = self.clock()
+        self._discard_closed()
         self._close_idle_since(now_us - self.idle_timeout_us)
         trusted_from_us = self.result_verification.trusted_from_us
         if trusted_from_us is not None and now_us - trusted_from_us >= SURPLUS_IDLE_US:
             self._close_idle_since(trusted_from_us, at_most=MAX_SURPLUS_CLOSED)
 
+    def _discard_closed(self) -> None:
+        """Discard the idle connections that their engines have closed: what is left tells whether a process
+        lives."""
+        for idle in self.idle.values():
+            for connection in [each for each in idle if peer_closed(each.socket)]:
+                idle.remove(connection)
+                self.discard(connection, "engine_closed")
+
     def _close_idle_since(self, unused_since_us: int, at_most: float = inf) -> None:
         """Close connections that have been idle since then or longer."""
         closed = 0
@@ -123,6 +145,7 @@
         """Close idle connections to all other endpoints: their addresses may be reused by new engines."""
         self.identical_response_endpoints &= endpoints
         self.result_verification.retain(endpoints)
+        self.engine_processes.retain(endpoints)
         for endpoint in self.idle.keys() - endpoints:
             for connection in self.idle.pop(endpoint):
                 self.discard(connection, "engine_removed")
@@ -154,5 +177,6 @@
         """Close a connection and free its slot."""
         if connection.has_surplus_data():
             self.result_verification.record_duplicate(connection.endpoint)
+        self.engine_processes.closed(connection)
         connection.close(code)
         self.slots.release()
--- a/pathturn/memory/engine_registry.py
+++ b/pathturn/memory/engine_registry.py
@@ -31,6 +31,17 @@
             for identity, _, zone, machine, cell, state, *_ in self.entries
         ]
 
+    def is_listed(self, endpoint: Endpoint) -> bool:
+        """Return whether the engine is listed."""
+        return endpoint[0] in self.endpoint_of
+
+    def is_replaced(self, endpoint: Endpoint) -> bool:
+        """Return whether another engine is listed at the address of this one, which is listed no more."""
+        if self.is_listed(endpoint):
+            return False
+        _, address = endpoint
+        return any(address == listed_address for _, listed_address in self.endpoint_of.values())
+
     def update(self, entries: list[tuple]) -> list[tuple]:
         """Replace the list, and return it with indices instead of ids for the decision module.
 
--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -18,7 +18,7 @@
 from pathturn.core import interface as names
 from pathturn.memory.arrival_order import ArrivalOrder
 from pathturn.memory.batches import Batch, Dispatch, End, OpenBatches, Source
-from pathturn.memory.engine_registry import EngineRegistry
+from pathturn.memory.engine_registry import Endpoint, EngineRegistry
 from pathturn.memory.memory_budget import MAX_WAITING_RESULTS, MemoryBudget, request_bytes
 from pathturn.memory.overdue import OverdueBatches
 from pathturn.memory.recent_ids import RecentIds
@@ -373,7 +373,11 @@
 
     def is_listed(self, dispatch: Dispatch) -> bool:
         """Return whether the dispatch's engine is still listed."""
-        return dispatch.engine in self.engine_registry.endpoint_of
+        return self.engine_registry.is_listed(dispatch.endpoint)
+
+    def report_process_ended(self, endpoint: Endpoint) -> None:
+        """Report that an engine's process has ended, as far as its connections tell."""
+        self._add_event("engine_process_ended", endpoint[0])
 
     # Called for discovery.
     def update_engines(self, form: int, entries: list[tuple]) -> None:
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -30,6 +30,7 @@
 from pathturn.wire.discovery_client import DiscoveryClient
 from pathturn.wire.dispatch_executor import DispatchExecutor
 from pathturn.wire.engine_connection import EngineConnection
+from pathturn.wire.engine_processes import EngineProcesses
 from pathturn.wire.listener import ClientListener
 from pathturn.wire.processing_turns import ProcessingTurns
 
@@ -91,6 +92,7 @@
                 endpoint, connect_timeout_s, self.buffers, self.log
             ),
             self.log,
+            EngineProcesses(self.clock, self.facade.engine_registry, self.facade.report_process_ended),
         )
         report = settings.get("report") or {}
         self.dispatch_executor = DispatchExecutor(
--- a/pathturn/standins/engines.py
+++ b/pathturn/standins/engines.py
@@ -89,7 +89,7 @@
 
     `queries` holds the behaviour and the start time of each query by its ticket."""
 
-    def __init__(self, behaviours: Iterable[str]) -> None:
+    def __init__(self, behaviours: Iterable[str], port: int = 0) -> None:
         self.behaviours = list(behaviours) or ["rows:1"]
         # By service group: the behaviour of all its queries, in place of the one that is next.
         self.group_behaviours: dict[str, str] = {}
@@ -107,11 +107,32 @@
         self.runs: deque[list] = deque(maxlen=MAX_RECORDED_REQUESTS)
         self.deletes_to_reset = 0
         self.delete_delay_s = 0.0  # before a cancel request takes effect
-        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.connections: set[socket.socket] = set()
+        self.server = StreamServer(("127.0.0.1", port), self.serve)
         self.server.start()
 
+    def kill(self) -> None:
+        """End as a killed process does: all connections are reset, and new ones refused."""
+        self.server.stop(0)
+        for connection in list(self.connections):
+            if not connection.closed:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+                connection.close()
+        self.connections.clear()
+        for ticket in list(self.queries):
+            self.mark_ended(ticket)
+        self.queries.clear()
+
     def serve(self, connection: socket.socket, peer: Any) -> None:
         """Serve the requests of one connection."""
+        self.connections.add(connection)
+        try:
+            self.serve_requests(connection)
+        finally:
+            self.connections.discard(connection)
+
+    def serve_requests(self, connection: socket.socket) -> None:
+        """Serve requests until the connection ends."""
         while not connection.closed:
             method, path, headers, body = read_request(connection)
             if not method:
--- a/pathturn/standins/fleet.py
+++ b/pathturn/standins/fleet.py
@@ -101,6 +101,7 @@
 
     def __init__(self) -> None:
         self.engines: dict[str, StandInEngine] = {}
+        self.unlisted: dict[str, StandInEngine] = {}  # started, but not told by the directory
         self.states: dict[str, str] = {}
         self.zones: dict[str, str] = {}
         self.started_ms: dict[str, int] = {}  # Unix time of the start of engines that warm up
@@ -117,6 +118,20 @@
         self.states[name] = "in_service"
         self.zones[name] = zone
 
+    def replace(self, name: str, new_name: str, *words: str, zone: str = DEFAULT_ZONE) -> None:
+        """Kill an engine's process and start another one at its address. The directory tells of it only once
+        `tell_replaced` is called."""
+        port = self.engines[name].server.address[1]
+        self.engines[name].kill()
+        self.unlisted[new_name] = StandInEngine(words, port)
+        self.zones[new_name] = zone
+
+    def tell_replaced(self, name: str, new_name: str) -> None:
+        """Have the directory tell that an engine is gone, and of the one at its address."""
+        self.engines[new_name] = self.unlisted.pop(new_name)
+        self.states[new_name] = "in_service"
+        self.set_state(name, "gone")
+
     def proxy(self, name: str) -> None:
         """Put a proxy before an engine that can simulate a network partition."""
         self.proxies[name] = NetworkProxy(self.engines[name].server.address)
@@ -177,7 +192,8 @@
         self.directory_server.sendto(reply.pack(), peer)
 
     def stop(self) -> None:
-        servers = [each.server for each in (*self.proxies.values(), *self.engines.values())]
+        parts = (*self.proxies.values(), *self.engines.values(), *self.unlisted.values())
+        servers = [each.server for each in parts]
         for server in [*servers, self.directory_server]:
             if server is not None:
                 server.stop(0)
--- a/pathturn/wire/dispatch_executor.py
+++ b/pathturn/wire/dispatch_executor.py
@@ -230,6 +230,11 @@
         )
 
     def _cancel(self, dispatch: Dispatch, new_connection: bool = False) -> CancelReply:
+        """Send a cancel request. If the engine's process has ended, wait until the list tells what is at its
+        address, unless the next attempt of the batch waits for this one's end."""
+        processes = self.connection_pool.engine_processes
+        if self.allow_concurrent or dispatch.batch.key is not None:
+            gevent.sleep(processes.list_update_us(dispatch.endpoint) / 1e6)
         return self._call_control(dispatch, engine_protocol.cancel_request, new_connection)
 
     def _change_priority(self, dispatch: Dispatch, priority: int) -> None:
--- a/pathturn/wire/exchange.py
+++ b/pathturn/wire/exchange.py
@@ -31,6 +31,10 @@
 RESETS = frozenset({"peer_closed", "ConnectionResetError", "BrokenPipeError"})
 
 
+class EngineEndedError(ConnectionLostError):
+    """The engine that had the query has gone; another one may be at its address."""
+
+
 class Exchange:
     """A dispatch and the connection that it currently uses.
 
@@ -58,15 +62,15 @@
         # Whether the engine has answered the start or a request about it.
         self.start_acknowledged = False
         self.start_arrival_limit_us = 0  # until then the start may reach the engine
+        self.started_at_us = 0
         self.response_timeout_s = connection_pool.connect_timeout_s + engine_protocol.POLL_RESPONSE_US / 1e6
 
     def start(self, request: bytes) -> tuple[int, Response]:
         """Send the start; return the number of pages of the result, 0 without a result, and the
         response."""
+        self.started_at_us = self.connection_pool.clock()
         self.start_arrival_limit_us = (
-            self.connection_pool.clock()
-            + engine_protocol.POLL_RESPONSE_US
-            + engine_protocol.UNPOLLED_LIFETIME_US
+            self.started_at_us + engine_protocol.POLL_RESPONSE_US + engine_protocol.UNPOLLED_LIFETIME_US
         )
         try:
             result = self._call_once(request, engine_protocol.page_count)
@@ -172,6 +176,7 @@
             self._check_time_limit()
             try:
                 if self.connection is None:
+                    self._check_engine()
                     # Backoff: an engine that was just restarted resets many connections at once.
                     gevent.sleep(RETRY_BACKOFF_S * 2**tries)
                     self.connection = self.connection_pool.acquire(self.dispatch.endpoint, new=True)
@@ -181,11 +186,28 @@
                 )
             except ConnectFailedError as error:
                 raise ConnectionLostError("connect_failed") from error
+            except EngineEndedError:
+                raise
             except ConnectionLostError as error:
                 self._doubt_last_page(error)
                 self._release_lost_connection(error)
         raise ConnectionLostError("retries_exhausted")
 
+    def _check_engine(self) -> None:
+        """Raise EngineEndedError if the engine that has the query is not at its address any more.
+
+        If all connections to it were lost at once, a repeatable batch goes elsewhere. Any other waits until
+        the list tells what is at the address: it may be the network that reset them, and the query goes on.
+        """
+        endpoint = self.dispatch.endpoint
+        processes = self.connection_pool.engine_processes
+        has_ended = processes.has_ended_since(endpoint, self.started_at_us)
+        if has_ended and not self.repeatable:
+            gevent.sleep(processes.list_update_us(endpoint) / 1e6)
+        is_gone = self.repeatable or not processes.registry.is_listed(endpoint)
+        if processes.registry.is_replaced(endpoint) or (has_ended and is_gone):
+            raise EngineEndedError("engine_ended")
+
     def _check_time_limit(self) -> None:
         """Raise DispatchTimeoutError if the time limit has passed; its timer does not fire again after a
         response that was read over a stall."""
@@ -216,6 +238,8 @@
     def _release_lost_connection(self, error: ConnectionLostError) -> None:
         """Close the connection after a lost response, or set it aside if the result may be a duplicate."""
         self.response_lost = True
+        if str(error) in RESETS and self.connection is not None:
+            self.connection_pool.engine_processes.connection_lost(self.connection)
         if (
             isinstance(error, SuspectedDuplicateError)
             and self.connection is not None
