Split client connection and facade: writer, rate limit, memory, history, stalls

No behaviour.

Each has one job and its constants beside it. - The tests that reached into a connection's lock, write and greenlets reach into its writer; their assertions are the same.

--- a/pathturn/memory/facade.py
+++ b/pathturn/memory/facade.py
@@ -13,32 +13,23 @@
 from typing import TYPE_CHECKING, Any
 
 from gevent.event import Event
-from gevent.lock import Semaphore
 
 from pathturn.core import interface as names
 from pathturn.memory.arrival_order import ArrivalOrder
 from pathturn.memory.batches import Batch, Dispatch, End, OpenBatches, Source
 from pathturn.memory.engine_registry import Endpoint, EngineRegistry
-from pathturn.memory.memory_budget import MAX_WAITING_RESULTS, MemoryBudget, request_bytes
+from pathturn.memory.memory_budget import MAX_WAITING_RESULTS, MemoryBudget
 from pathturn.memory.overdue import OverdueBatches
-from pathturn.memory.recent_ids import RecentIds
+from pathturn.memory.request_memory import RequestMemory
+from pathturn.memory.run_history import RunHistory
+from pathturn.memory.stall_detector import StallDetector
 
 if TYPE_CHECKING:  # routing is imported at run time only if enabled: plain serve has no routes
     from pathturn.routing.router import BatchAttributes, Router
 
 # The module normally ends a batch before its deadline; the protocol allows an answer up to 50 ms after it.
 OVERDUE_US = 20_000
-# A longer gap between heartbeats is a stall. By the protocol requests of one key are written at least this
-# far apart, so a shorter stall cannot change their order.
-STALL_THRESHOLD_US = 60_000
 DEFAULT_REQUEST_MEMORY_BYTES = 64 << 20
-# Longer than a client tries again after its connection ended.
-ONCE_ONLY_MEMORY_US = 30_000_000
-
-
-def _is_dropped_by_some(group: names.ServiceGroup) -> bool:
-    """Return whether only some of the engines drop the repeat of a batch."""
-    return group.kind == names.REFERENCED and group.dedup_scope != "all"
 
 
 def _response_goal_us(group: names.ServiceGroup, work_us: int) -> int:
@@ -68,16 +59,11 @@
         self.overdue = OverdueBatches(self.batches.by_index)
         self.events: list[tuple] = []
         self.arrival_order = ArrivalOrder()
-        self.tickets_that_ran = RecentIds()
-        self.nonces_that_ran = RecentIds()
-        self.memory_budget = memory_budget or MemoryBudget(DEFAULT_REQUEST_MEMORY_BYTES)
-        self.large_results = Semaphore(self.memory_budget.max_large_results)
-        self.waiting_results = 0
+        self.run_history = RunHistory(groups, self.batches, clock)
+        self.memory = RequestMemory(memory_budget or MemoryBudget(DEFAULT_REQUEST_MEMORY_BYTES))
+        self.stalls = StallDetector(clock, lambda text: self.log_line(text))
         # By key: ended batches whose answer has not been written yet.
         self.unwritten_answers: Counter[str] = Counter()
-        self.last_heartbeat_us = clock()
-        self.last_stall_us = 0
-        self.last_stall_length_us = 0
         self.work_available = Event()
         self.wake_at_us = inf
         self.round_started_us = 0
@@ -99,37 +85,6 @@
         """Return how long a batch of an ordered group may have waited at its client for others of its key."""
         return self.dispatcher.key_queue_drain_us(self.groups[name])
 
-    def may_run(self, ticket: str, group: str, nonce: str | None) -> bool:
-        """Return whether a batch may run under this ticket and nonce.
-
-        Engines know a query by its ticket, so not while another may be running under it. A once-only batch
-        must not run again, nor a nonce where only some engines drop its repeat.
-        """
-        now_us = self.clock()
-        if ticket in self.batches.tickets or self.tickets_that_ran.contains(ticket, now_us):
-            return False
-        if nonce is None or not _is_dropped_by_some(self.groups[group]):
-            return True
-        return nonce not in self.batches.nonces and not self.nonces_that_ran.contains(nonce, now_us)
-
-    def keep_ticket(self, dispatch: Dispatch, until_us: int) -> None:
-        """Keep the ticket of a dispatch from use, as its query may be running until then."""
-        self.tickets_that_ran.add(dispatch.batch.ticket, until_us, self.clock())
-
-    def _note_run(self, dispatch: Dispatch) -> None:
-        """Note that the query of a dispatch may have run."""
-        now_us = self.clock()
-        group = self.groups[dispatch.batch.group]
-        if group.kind == names.ONCE_ONLY:
-            self.tickets_that_ran.add(dispatch.batch.ticket, now_us + ONCE_ONLY_MEMORY_US, now_us)
-        elif _is_dropped_by_some(group) and dispatch.batch.nonce is not None:
-            until_us = dispatch.sent_us + group.dedup_window_us
-            self.nonces_that_ran.add(dispatch.batch.nonce, until_us, now_us)
-
-    def has_memory_for(self, statement: bytes, open_requests: int) -> bool:
-        """Return whether there is memory for one more request of a connection with so many open ones."""
-        return self.memory_budget.admits(request_bytes(len(statement)), open_requests)
-
     def retry_after_us(self) -> int:
         """Return when a client may retry a request for which there is no memory."""
         return self.dispatcher.default_retry_after_us(len(self.batches))
@@ -158,7 +113,7 @@
         written_from_us = self._written_from_us(written_from_us)
         deadline_us = written_from_us + left_us
         batch = self.batches.open(source, ticket, group, nonce, key, statement, deadline_us)
-        self._hold_memory(batch, request_bytes(len(statement)))
+        self.memory.hold_request(batch)
         # The client gets an answer soon after the deadline even if a fault lost the batch's events.
         self.overdue.watch(batch, deadline_us + OVERDUE_US)
         if self.router is not None:
@@ -187,7 +142,7 @@
     def _written_from_us(self, unread_from_us: int | None) -> int:
         """Return the time before which input that is processed now was not written. Its connection has not
         been read since `unread_from_us`, and no connection was during a stall of the process."""
-        after_stall_us = self.clock() - self._read_delay_us()
+        after_stall_us = self.clock() - self.stalls.read_delay_us()
         return after_stall_us if unread_from_us is None else min(unread_from_us, after_stall_us)
 
     def _check_order(self, batch: Batch, written_from_us: int) -> None:
@@ -211,7 +166,7 @@
 
     def finish_answer(self, batch: Batch) -> None:
         """Note that a batch's answer has been written, or can't be."""
-        self._release_memory(batch)
+        self.memory.release(batch)
         if batch.key is not None:
             self.unwritten_answers -= Counter((batch.key,))
 
@@ -229,60 +184,7 @@
     def _end_batch(self, batch: Batch, end: End) -> None:
         batch.end(end)
         if end.outcome is None or batch.source is None:  # no answer follows
-            self._release_memory(batch)
-
-    def _hold_memory(self, batch: Batch, size: int) -> None:
-        batch.held_bytes += size
-        self.memory_budget.add(size)
-
-    def _release_memory(self, batch: Batch) -> None:
-        self.memory_budget.remove(batch.held_bytes)
-        batch.held_bytes = 0
-        if batch.holds_large_result:
-            batch.holds_large_result = False
-            self._release_large_result(batch)
-
-    def try_acquire_large_result(self, batch: Batch) -> bool:
-        """Return whether there is memory for a result of more than one page. If so, it is held until the
-        batch's answer is written."""
-        if batch.holds_large_result or batch.source is None:
-            return True
-        if not batch.source.large_results.acquire(blocking=False):
-            return False
-        if not self.large_results.acquire(blocking=False):
-            batch.source.large_results.release()
-            return False
-        self._hold_large_result(batch)
-        return True
-
-    def acquire_large_result(self, dispatch: Dispatch) -> None:
-        """Wait until there is memory for the result of a dispatch whose query has ended."""
-        if self.waiting_results < MAX_WAITING_RESULTS:
-            self._add_event("query_ended", dispatch.batch.index, dispatch.number, dispatch.engine)
-        self.waiting_results += 1
-        try:
-            self._acquire_large_result(dispatch.batch)
-        finally:
-            self.waiting_results -= 1
-
-    def _acquire_large_result(self, batch: Batch) -> None:
-        batch.source.large_results.acquire()
-        try:
-            self.large_results.acquire()
-        except BaseException:
-            batch.source.large_results.release()
-            raise
-        self._hold_large_result(batch)
-
-    def _hold_large_result(self, batch: Batch) -> None:
-        if batch.ended or batch.holds_large_result:  # meanwhile
-            self._release_large_result(batch)
-        else:
-            batch.holds_large_result = True
-
-    def _release_large_result(self, batch: Batch) -> None:
-        self.large_results.release()
-        batch.source.large_results.release()
+            self.memory.release(batch)
 
     # Called for the operator.
     def use_router(
@@ -330,6 +232,12 @@
         """Pass on an engine's notice about a running dispatch."""
         self._add_event("engine_notice", dispatch.batch.index, dispatch.engine, kind, level, dispatch.number)
 
+    def wait_for_result_memory(self, dispatch: Dispatch) -> None:
+        """Wait until there is memory for the result of a dispatch whose query has ended."""
+        if self.memory.waiting_results < MAX_WAITING_RESULTS:
+            self._add_event("query_ended", dispatch.batch.index, dispatch.number, dispatch.engine)
+        self.memory.acquire_large_result(dispatch.batch)
+
     def report_outcome(
         self,
         dispatch: Dispatch,
@@ -343,10 +251,10 @@
         """Record the outcome of a dispatch, exactly once for each; the first returned rows end the batch."""
         batch = dispatch.batch
         if outcome not in names.NEVER_RAN:
-            self._note_run(dispatch)
+            self.run_history.note_run(dispatch)
         del batch.in_flight[dispatch.number]
         if outcome == names.RETURNED and not batch.ended:
-            self._hold_memory(batch, len(rows))
+            self.memory.hold_rows(batch, rows)
             self._end_batch(batch, End(names.RETURNED, rows=rows))
         cost_known = outcome == names.RETURNED and self.answers_report_cost
         self._add_event(
@@ -392,33 +300,6 @@
         """Tell the decision module that the process ends after `left_us` at the latest."""
         self._add_event("shutdown", left_us)
 
-    def heartbeat(self) -> None:
-        """Note that the event loop runs; called every few milliseconds. A longer gap is a stall of the whole
-        process."""
-        now = self.clock()
-        if now - self.last_heartbeat_us > STALL_THRESHOLD_US:
-            self.last_stall_us = now
-            self.last_stall_length_us = now - self.last_heartbeat_us
-            self.log_line(f"event loop stalled for {(now - self.last_heartbeat_us) // 1000} ms")
-        self.last_heartbeat_us = now
-
-    def _read_delay_us(self) -> int:
-        """Return for how long the input read now may have been unread: time limits run from its arrival."""
-        now = self.clock()
-        gap = now - self.last_heartbeat_us
-        return (
-            gap
-            if gap > STALL_THRESHOLD_US
-            else self.last_stall_length_us
-            if now - self.last_stall_us < STALL_THRESHOLD_US
-            else 0
-        )
-
-    def _stalled(self) -> bool:
-        """Return whether the input read now may have arrived during a stall. The heartbeat that notices the
-        stall may run only after it is read."""
-        return self._read_delay_us() > 0
-
     def wait_for_work(self) -> None:
         """Wait for an event, until the decision module asked to be woken, or until a batch is overdue."""
         if not self.work_available.is_set():
@@ -431,7 +312,7 @@
         """Run a round of the decision module on all events received since the last one."""
         now = self.clock()
         events, self.events = [self._with_time_left(now, event) for event in self.events], []
-        if not self._stalled():
+        if not self.stalls.read_delay_us():
             self.arrival_order.forget(now)
         self.round_started_us = now
         if now >= self.wake_at_us:
--- a/pathturn/process/gateway.py
+++ b/pathturn/process/gateway.py
@@ -14,8 +14,9 @@
 from pathturn.memory.buffers import BufferPool
 from pathturn.memory.client_connections import ClientConnections
 from pathturn.memory.connection_pool import ConnectionPool
-from pathturn.memory.facade import STALL_THRESHOLD_US, Facade
+from pathturn.memory.facade import Facade
 from pathturn.memory.memory_budget import MemoryBudget
+from pathturn.memory.stall_detector import STALL_THRESHOLD_US
 from pathturn.process.clock import unix_clock
 from pathturn.process.limits import (
     MAX_HALF_CLOSED,
@@ -205,7 +206,7 @@
 
     def _heartbeat_loop(self) -> None:
         while True:
-            self.facade.heartbeat()
+            self.facade.stalls.heartbeat()
             gevent.sleep(HEARTBEAT_INTERVAL_S)
 
     def _prune_loop(self) -> None:
--- a/pathturn/wire/client_connection.py
+++ b/pathturn/wire/client_connection.py
@@ -7,8 +7,7 @@
 
 import gevent
 from gevent import socket
-from gevent.lock import RLock, Semaphore
-from gevent.pool import Group
+from gevent.lock import Semaphore
 
 from pathturn.core import interface as names
 from pathturn.memory.batches import Batch, Dispatch, End
@@ -16,8 +15,10 @@
 from pathturn.memory.facade import Facade
 from pathturn.memory.memory_budget import MAX_LARGE_RESULTS_PER_CONNECTION
 from pathturn.wire import jsonrpc
+from pathturn.wire.answer_writer import AnswerWriter
 from pathturn.wire.engine_connection import nothing_to_read, peer_closed
 from pathturn.wire.processing_turns import ProcessingTurns, TurnAccount
+from pathturn.wire.rate_limit import InputRateLimit
 from pathturn.wire.reader import SocketReader
 from pathturn.wire.statement import data_set
 
@@ -33,30 +34,13 @@
 # less patience than that length may have any time left: an answer up to 0.5 s late earns nothing but is not
 # lost, and half of that is kept for the answer to arrive.
 MIN_TIME_LEFT_US = 250_000
-# A client that sends no complete line, or does not read, has to be disconnected within 3 s of connecting.
+# A client that sends no complete line has to be disconnected within 3 s of connecting.
 LINE_TIMEOUT_S = 2.0
-WRITE_TIMEOUT_S = 2.0
-# Rate limit of a connection: each line costs 1 ms, and each rejected request 50 ms more, as these are often
-# sent again at once. Beyond the burst the reader of the connection pauses, and the other connections have
-# their share of the event loop.
-LINE_COST_US = 1_000
-REJECTION_COST_US = 50_000
-BURST_US = 100_000
-MAX_PAUSE_US = 500_000
-# The longest pause with something urgent in the input that is not processed: an abort, or a request with an
-# ordering key, as a later one of that key may come on another connection. It is not zero, as each piece of a
-# flood may hold these.
-URGENT_PAUSE_US = 10_000
-# A connection that is over its rate limit by more than this pauses in full, also before such a request.
-MAX_URGENT_KEY_EXCESS_US = 1_000_000
 # How often a connection that is not being read is polled for the client's close: the batches of a client that
 # has disconnected need no answer, and by the protocol the gateway has to know that within 0.1 s.
 CLOSE_POLL_US = 25_000
 # Event loop iterations a reader needs: one to wake, one to read, and one for what arrived meanwhile.
 READER_ITERATIONS = 3
-# The replies to one read of the shortest lines. The writer runs before the next read, so more than this is
-# queued only when the client does not read.
-MAX_QUEUED_REPLY_BYTES = 10 * BUFFER_BYTES
 # Ten times as long as, by the protocol, a batch may cross the gateway's half-close. A client that has not
 # closed its side by then is not going to.
 HALF_CLOSE_TIMEOUT_US = 500_000
@@ -85,10 +69,9 @@
         self.order_identity = object()
         # No byte of the input being processed was written before this time.
         self.written_from_us = 0
-        self.write_lock = RLock()
+        self.writer = AnswerWriter(sock, self.close)
         self.large_results = Semaphore(MAX_LARGE_RESULTS_PER_CONNECTION)
         self.open_batches: dict[int, Batch] = {}
-        self.answer_greenlets = Group()
         self.batches_received = 0
         self.lines = jsonrpc.LineSplitter(max_line_bytes)
         self.turns = turns or ProcessingTurns(facade.clock)
@@ -100,10 +83,7 @@
         self.last_active_us = facade.clock()
         self.partial_line_since_us = 0
         self.line_received = False
-        # The time up to which the lines read so far use up the connection's rate limit.
-        self.rate_limited_until_us = 0
-        self.queued_replies: list[bytes] = []
-        self.queued_reply_bytes = 0
+        self.rate_limit = InputRateLimit()
 
     # When the gateway closed its side; 0 while it is open.
     half_closed_us = 0
@@ -162,7 +142,7 @@
 
     def _half_close_when_answered(self) -> None:
         while self.has_pending_answers:
-            self.answer_greenlets.join()
+            self.writer.greenlets.join()
             gevent.sleep(CLOSE_POLL_US / 1e6)
         if not self.socket.closed:
             self.half_close(self.code)
@@ -170,7 +150,7 @@
     @property
     def has_pending_answers(self) -> bool:
         """Whether a batch is open or an answer is being written."""
-        return bool(self.open_batches or self.answer_greenlets)
+        return bool(self.open_batches or self.writer.greenlets)
 
     def safe_to_close(self) -> bool:
         """Whether the connection can be closed without loss: no answer is pending or being written, and a
@@ -262,23 +242,19 @@
             jsonrpc.handle_line(line, self)
         if self.lines.partial and not had_partial_line:
             self.partial_line_since_us = self.facade.clock()
-        now = self.facade.clock()
-        self.rate_limited_until_us = (
-            max(self.rate_limited_until_us, now - BURST_US) + line_count * LINE_COST_US
-        )
-        self.rate_limited_until_us += (self.rejections - rejections_before) * REJECTION_COST_US
+        self.rate_limit.charge(line_count, self.rejections - rejections_before, self.facade.clock())
 
     def _pause(self) -> bool:
         """Wait until the connection is within its rate limit again. Return whether to go on reading: False if
         the client has closed. Meanwhile input is read ahead as far as there is room, as the client's close
-        takes effect at once and what is urgent after URGENT_PAUSE_US. Once input is discarded, before the
+        takes effect at once and what is urgent after a short pause. Once input is discarded, before the
         half-close, only the client's close matters."""
         if self.discarding_input:
             if not self.half_closed_us:
                 gevent.sleep(CLOSE_POLL_US / 1e6)
             return self.half_closed_us > 0 or not peer_closed(self.socket)
-        until_us = min(self.rate_limited_until_us, self.facade.clock() + MAX_PAUSE_US)
-        urgent_until_us = min(until_us, self.facade.clock() + URGENT_PAUSE_US)
+        until_us = self.rate_limit.pause_end_us(self.facade.clock())
+        urgent_until_us = self.rate_limit.urgent_pause_end_us(self.facade.clock())
         while not self.discarding_input:
             deadline_us = urgent_until_us if self._has_urgent_input() else until_us
             left_us = deadline_us - self.facade.clock()
@@ -303,38 +279,8 @@
         its rate limit, a request with an ordering key."""
         if self.lines.may_hold(jsonrpc.ABORT_METHOD):
             return True
-        excess_us = self.rate_limited_until_us - self.facade.clock()
-        return excess_us <= MAX_URGENT_KEY_EXCESS_US and self.lines.may_hold(jsonrpc.KEY_FIELD)
-
-    def _write(self, line: bytes) -> None:
-        with self.write_lock:
-            try:
-                with gevent.Timeout(WRITE_TIMEOUT_S, TimeoutError):
-                    self.socket.sendall(line)
-            except OSError as error:
-                # The reader wakes up, and the reason is logged when it returns.
-                self.close(
-                    "client_not_reading"
-                    if isinstance(error, TimeoutError)
-                    else f"lost_{type(error).__name__}"
-                )
-
-    def _queue_reply(self, line: bytes) -> None:
-        """Queue a reply that belongs to no batch. The reader doesn't write it itself: blocked by a client
-        that does not read, it would notice that client's close and its aborts only seconds later."""
-        self.queued_replies.append(line)
-        self.queued_reply_bytes += len(line)
-        if self.queued_reply_bytes > MAX_QUEUED_REPLY_BYTES:
-            self.close("client_not_reading")
-        elif self.queued_reply_bytes == len(line):
-            self.answer_greenlets.spawn(self._write_queued_replies)
-
-    def _write_queued_replies(self) -> None:
-        while self.queued_replies:
-            replies = b"".join(self.queued_replies)
-            self.queued_replies = []
-            self._write(replies)
-            self.queued_reply_bytes -= len(replies)
+        is_key_urgent = self.rate_limit.allows_urgent_key(self.facade.clock())
+        return is_key_urgent and self.lines.may_hold(jsonrpc.KEY_FIELD)
 
     # Callbacks of jsonrpc.handle_line, one for each kind of request.
     def service_group(self, method: str) -> names.ServiceGroup | None:
@@ -357,17 +303,17 @@
         return True
 
     def ping(self, request_id: Any) -> None:
-        self._queue_reply(jsonrpc.healthy(request_id, self.is_ready()))
+        self.writer.queue(jsonrpc.healthy(request_id, self.is_ready()))
 
     def reject(self, request_id: Any, error_code: int) -> None:
         """Answer a request with an error and count it for the rate limit."""
         self.rejections += 1
-        self._queue_reply(jsonrpc.errored(request_id, error_code))
+        self.writer.queue(jsonrpc.errored(request_id, error_code))
 
     def _push_back(self, request_id: int) -> None:
         """Refuse a request for which there is no memory, and count it for the rate limit."""
         self.rejections += 1
-        self._queue_reply(jsonrpc.pushed_back(request_id, self.facade.retry_after_us()))
+        self.writer.queue(jsonrpc.pushed_back(request_id, self.facade.retry_after_us()))
 
     def abort(self, request_id: Any) -> None:
         """Withdraw a batch. Its place among the open ones is free at once: by the protocol the client may use
@@ -396,10 +342,10 @@
         if len(self.open_batches) >= MAX_OPEN_BATCHES:
             self.reject(request_id, jsonrpc.TOO_MANY_OPEN)
             return
-        if not self.facade.may_run(ticket, group, nonce):
+        if not self.facade.run_history.may_run(ticket, group, nonce):
             self.reject(request_id, jsonrpc.INVALID_REQUEST)
             return
-        if not self.facade.has_memory_for(statement, len(self.open_batches)):
+        if not self.facade.memory.has_room(statement, len(self.open_batches)):
             self._push_back(request_id)
             return
         if key is not None and self.facade.group(group).ordered_by_key:
@@ -437,16 +383,16 @@
             return
         self.facade.begin_answer(batch)
         if end.outcome == names.RETURNED or batch.key is not None:
-            self.answer_greenlets.spawn(self._answer, batch, end)
+            self.writer.greenlets.spawn(self._answer, batch, end)
         else:  # short answers are written together, as hundreds of batches may end at once
-            self._queue_reply(self._encode_short_answer(batch, end))
+            self.writer.queue(self._encode_short_answer(batch, end))
             self.facade.finish_answer(batch)
 
     def _answer(self, batch: Batch, end: End) -> None:
         try:
             # Encoded only when it can be written: a client that does not read may have many results waiting.
-            with self.write_lock:
-                self._write(
+            with self.writer.lock:
+                self.writer.write(
                     jsonrpc.returned(batch.request_id, end.rows)
                     if end.outcome == names.RETURNED
                     else self._encode_short_answer(batch, end)
--- a/pathturn/wire/dispatch_executor.py
+++ b/pathturn/wire/dispatch_executor.py
@@ -100,7 +100,7 @@
         dispatch = exchange.dispatch
         dispatch.on_cancel = dispatch.on_priority_change = None
         if exchange.started:
-            self.facade.keep_ticket(dispatch, exchange.query_expiry_us)
+            self.facade.run_history.keep_ticket(dispatch, exchange.query_expiry_us)
         if not exchange.started:
             exchange.close_connection(exchange.close_code)
             self._report(exchange, names.UNSENT)
@@ -187,7 +187,7 @@
                 self.facade.report_notice(dispatch, *notice)
             pages, (status, fields, body) = exchange.poll()
         ended_us = self.clock()
-        if pages > 1 and not self.facade.try_acquire_large_result(batch):
+        if pages > 1 and not self.facade.memory.try_acquire_large_result(batch):
             pages, (status, fields, body) = self._wait_for_result_memory(exchange)
         outcome = engine_protocol.outcome(status, fields)
         rows = None
@@ -201,7 +201,7 @@
         """Wait until there is memory for the result of a query that has ended; return its first page again.
         Meanwhile the engine keeps the result, and the connection is free for others."""
         exchange.release_connection()
-        self.facade.acquire_large_result(exchange.dispatch)
+        self.facade.wait_for_result_memory(exchange.dispatch)
         return exchange.poll()
 
     def _fetch_rows(self, exchange: Exchange, pages: int, first_page: bytes) -> bytes | None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -432,11 +432,11 @@
 
     def holds_no_memory(self):
         """No memory is counted for requests or results once all of them are answered."""
-        facade, deadline = self.gateway.facade, monotonic() + 2
-        while facade.memory_budget.used_bytes and monotonic() < deadline:
+        memory, deadline = self.gateway.facade.memory, monotonic() + 2
+        while memory.budget.used_bytes and monotonic() < deadline:
             gevent.sleep(0.01)
-        assert not facade.memory_budget.used_bytes, "memory is counted for requests that are not there"
-        assert facade.large_results.counter == facade.memory_budget.max_large_results
+        assert not memory.budget.used_bytes, "memory is counted for requests that are not there"
+        assert memory.large_results.counter == memory.budget.max_large_results
 
     def idle(self):
         """Nothing is open, and no connection is counted that is not there."""
--- a/tests/test_client_edges.py
+++ b/tests/test_client_edges.py
@@ -597,7 +597,7 @@
     facade.predecessors_answered = lambda dispatch: predecessors_answered(dispatch) or waiting.append(
         dispatch
     )
-    with connection.write_lock:
+    with connection.writer.lock:
         rig.call(2, "load", key="k", patience=5000)
         wait_until(lambda: len(rig.engines["e"].start_times) == 2)
         client.sendall(request_with_key(3, "k"))
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -125,7 +125,7 @@
     rig.call(1, "look", patience=1400)
     wait_until(lambda: rig.engines["e"].start_times)
     (connection,) = rig.gateway.client_connections.active
-    with connection.write_lock:
+    with connection.writer.lock:
         rig.say(id=2, method="none")
         gevent.sleep(0.05)
         rig.abort(1)
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -50,7 +50,7 @@
 def limit_requests(rig, requests: int) -> int:
     """Leave memory for so many requests of a connection that has many; return the bytes of one."""
     size = request_bytes(len(b"SELECT 1 FROM sales_3.orders"))
-    budget = rig.gateway.facade.memory_budget
+    budget = rig.gateway.facade.memory.budget
     budget.limit_bytes = int(requests * size / 0.75) + 1
     return size
 
@@ -98,7 +98,7 @@
     client = socket.create_connection(rig.listen)
     connection = connection_of(rig, client)
     client.sendall(b"".join(request_line(number) for number in range(1, 9)))
-    budget = rig.gateway.facade.memory_budget
+    budget = rig.gateway.facade.memory.budget
     wait_until(lambda: connection.batches_received == 8)
     assert end == "error" or budget.used_bytes >= 8 * REQUEST_OVERHEAD_BYTES
     if end == "abort":
@@ -116,9 +116,9 @@
     rig.engine("e", f"big:{LARGE_PAGES}")
     rig.start()
     facade = rig.gateway.facade
-    facade.memory_budget.max_large_results = MIN_LARGE_RESULTS
-    while facade.large_results.counter > MIN_LARGE_RESULTS:
-        facade.large_results.acquire()
+    facade.memory.budget.max_large_results = MIN_LARGE_RESULTS
+    while facade.memory.large_results.counter > MIN_LARGE_RESULTS:
+        facade.memory.large_results.acquire()
     silent = socket.create_connection(rig.listen)
     silent.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     connection = connection_of(rig, silent)
@@ -126,7 +126,7 @@
     lines = b"".join(request_line(number) for number in range(1, MAX_OPEN_BATCHES + 1))
     silent.sendall(lines.replace(b'"trace":"0', b'"trace":"f'))
     wait_until(lambda: connection.large_results.counter == 0)
-    assert facade.large_results.counter == MIN_LARGE_RESULTS - MAX_LARGE_RESULTS_PER_CONNECTION
+    assert facade.memory.large_results.counter == MIN_LARGE_RESULTS - MAX_LARGE_RESULTS_PER_CONNECTION
     for number in range(1, 13):
         rig.call(number, "look", patience=1400)
     for number in range(1, 13):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,6 +10,7 @@
 from contextlib import contextmanager
 from math import inf
 from time import monotonic
+from types import SimpleNamespace
 
 import gevent
 import orjson
@@ -377,8 +378,8 @@
     connection = ClientConnection.__new__(ClientConnection)
     connection.socket, client = socket.socketpair()
     connection.open_batches = {}
-    connection.answer_greenlets, connection.lines, connection.line_received = (
-        set(),
+    connection.writer = SimpleNamespace(greenlets=set())
+    connection.lines, connection.line_received = (
         jsonrpc.LineSplitter(100),
         True,
     )
@@ -393,15 +394,15 @@
     connection.socket.recv(9)
     list(connection.lines.feed(memoryview(b"half")))
     assert connection.timeout_reason(2_500_000) == "partial_line" and not connection.safe_to_close()
-    connection.answer_greenlets.add(1)
+    connection.writer.greenlets.add(1)
     assert connection.timeout_reason(9_000_000) is None and not connection.safe_to_close()
-    connection.answer_greenlets.clear()
+    connection.writer.greenlets.clear()
     connection.open_batches[1] = None
     assert connection.timeout_reason(9_000_000) is None and not connection.safe_to_close()
 
 
 def test_a_client_that_never_reads_is_disconnected(rig, monkeypatch) -> None:
-    monkeypatch.setattr("pathturn.wire.client_connection.WRITE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr("pathturn.wire.answer_writer.WRITE_TIMEOUT_S", 0.2)
     rig.start()
     with socket.socket() as listener:
         listener.bind(("127.0.0.1", 0))
@@ -410,7 +411,7 @@
         gateway_socket, _ = listener.accept()
     connection = ClientConnection(gateway_socket, rig.gateway.facade, None, None, None, 100)
     with gevent.Timeout(2):
-        connection._write(bytes(1 << 23))
+        connection.writer.write(bytes(1 << 23))
     assert connection.code == "client_not_reading" and gateway_socket.closed
     client_socket.close()
 
@@ -592,7 +593,7 @@
     rig.call(1, "load", key="first")
     rig.returned(1)
     (blocked,) = rig.gateway.client_connections.active
-    with blocked.write_lock:
+    with blocked.writer.lock:
         rig.call(2, "load", key="k", patience=3000)
         gevent.sleep(0.2)
         rig.connect()
