An engine that leaves the list is kept while a dispatch of it waits for memory

Found by reading the change before the landing, not seen by callers: a dispatch whose query has ended and whose result waits for memory is in flight at no engine any more. If the engine left the list meanwhile, the decision module forgot it, and the dispatch's outcome ended the round with a KeyError: the batches of that round would have been answered as overdue, with errors.

Evidence: test_an_engine_that_leaves_the_list_is_known_until_its_dispatches_have_an_outcome failed before (KeyError: 0).

Why this works: an engine counts its dispatches without an outcome, and is forgotten only when there is none.

--- a/pathturn/core/dispatcher.py
+++ b/pathturn/core/dispatcher.py
@@ -300,6 +300,8 @@
         self.last_heard_us = now
         self.ejected_until_us = 0
         self.in_flight = {}
+        # Dispatches without an outcome, also those whose query has ended.
+        self.outstanding = 0
         self.slow_start_work = None
         self.allowed_work_us = 0.0
         self.cached_data_sets = deque(maxlen=CACHED_DATA_SETS)
@@ -646,7 +648,7 @@
         self.engines = {
             known_index: known
             for known_index, known in self.engines.items()
-            if known.in_flight or known.state != names.GONE
+            if known.outstanding or known.state != names.GONE
         }
         ready = self._ready_engines()
         self.shares_solved_us = 0
@@ -734,6 +736,7 @@
         batch = self.batches[index]
         engine = self.engines[engine_index]
         self.query_ended(index, number, engine_index)
+        engine.outstanding -= 1
         dispatch = batch.in_flight.pop(number)
         if batch.destination is not None:
             batch.destination.dispatch_done()
@@ -1061,6 +1064,7 @@
         batch.in_flight[batch.dispatch_count] = engine.in_flight[batch.index, batch.dispatch_count] = (
             Dispatch(batch, self.now, engine.load)
         )
+        engine.outstanding += 1
         engine.threads_in_use += batch.group.threads
         self.fleet_threads[batch.is_small] += batch.group.threads
         self.retry_budget.retries.add(self.now, batch.dispatch_count > 0)
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -188,3 +188,22 @@
         stage.answer(f"b{number}", "returned")
     assert not stage.dispatcher.batches
     assert len(stage.dispatcher.timers) <= MAX_STALE_TIMERS + 2 * MAX_TIMERS_PER_BATCH
+
+
+def test_an_engine_that_leaves_the_list_is_known_until_its_dispatches_have_an_outcome() -> None:
+    """Guards against a round that fails: the result of a query that has ended may wait for memory while its
+    engine leaves the list."""
+    stage = Stage()
+    stage.group("repeatable")
+    stage.engine(0)
+    stage.engine(1)
+    stage.batch("a", left="9000")
+    ((batch, number), engine) = next(iter(stage.flying.items()))
+    stage.round(("query_ended", batch, number, engine))
+    assert not stage.dispatcher.engines[engine].threads_in_use
+    stage.list_only(1 - engine)
+    stage.round(("query_ended", batch, number, engine))  # without effect the second time
+    stage.answer("a", "returned")
+    assert not stage.dispatcher.batches and not any(stage.dispatcher.fleet_threads)
+    stage.list_only(1 - engine)
+    assert list(stage.dispatcher.engines) == [1 - engine]
